--- a/examples/scheduler.rs
+++ b/examples/scheduler.rs
@@ -5,10 +5,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use ploverlatch::api::{
+use cairncrank::api::{
     Class, Member, Outcome, Repeat, Request, RequestId, Scope, Tenant, WorkerId, WorkerState,
 };
-use ploverlatch::{Action, Dispatcher, Event, Settings};
+use cairncrank::{Action, Dispatcher, Event, Settings};
 
 fn main() {
     let settings = Settings {
--- a/src/bin/ploverlatch-wirehost.rs
+++ b/src/bin/cairncrank-simhost.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::process::ExitCode;
 
-use ploverlatch::wire::Host;
+use cairncrank::wire::Host;
 
 /// Batches may be large; reading in big pieces saves system calls.
 const BUFFER: usize = 1 << 18;
@@ -14,7 +14,7 @@
     match Host::default().serve(input, io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("ploverlatch-wirehost: {error}");
+            eprintln!("cairncrank-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use ploverlatch::api::*;
-use ploverlatch::Dispatcher;
+use cairncrank::api::*;
+use cairncrank::Dispatcher;
 
 /// How long after the word a worker that drains may still get new work.
 pub const DRAIN_GRACE: f64 = 0.5;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use ploverlatch::api::*;
+use cairncrank::api::*;
 
 /// A dispatcher that may ask its twelve workers at this price.
 fn asking(probe_price: f64) -> Driver {
--- a/tests/odd.rs
+++ b/tests/odd.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use ploverlatch::api::*;
+use cairncrank::api::*;
 
 /// Sends requests at a steady pace and answers each attempt after a tenth of a second as told.
 fn play(d: &mut Driver, from: u64, count: u64, answer: impl Fn(WorkerId) -> Outcome) -> usize {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use fastrand::Rng;
-use ploverlatch::api::*;
+use cairncrank::api::*;
 
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Ok,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! Transcripts of the wire: what goes in, what comes out, and what is refused as malformed.
 
-use ploverlatch::wire::{Host, HostError};
+use cairncrank::wire::{Host, HostError};
 
 const INIT: &str = "INIT 7 azs=a,b balancers=1 zone=0 slot-no=0 discovery=push unknown.key=x \
     profiles.count=1 profiles.0.deadline-s=5.0 profiles.0.promise-s=0.5 profiles.0.idempotency=free \
