--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,286 @@
+//! The one place where configuration is read, checked and given defaults.
+//!
+//! The platform hands over a JSON file (`BALANCER_CONFIG`) and repeats the name and the addresses in variables
+//! of their own, which win. Messages name the faulty key.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use rustc_hash::FxHashMap;
+use serde_json::Value;
+
+use crate::api::{Member, Repeat, Scope, Settings, WorkerState};
+use crate::engine::{micros, Listed, Micros};
+use crate::settings::{settings, worker_id, Bad, Pairs};
+
+/// Descriptors where no limit is told.
+const SOCKETS: usize = 1024;
+/// Descriptors kept back for files, the runtime, the listener and discovery.
+const SOCKETS_KEPT: usize = 40;
+/// The part of the descriptors that clients may hold, in hundredths; workers have the rest.
+const CLIENT_SOCKETS: usize = 60;
+/// Seconds for a connection to come up, and for which an idle one is kept, where not told.
+const DIAL_TIMEOUT: f64 = 1.0;
+const KEEPALIVE: f64 = 5.0;
+/// An idle connection is used for this part of the time after which a worker may close it: the clocks of both
+/// sides differ, and a request that crosses the close would be lost.
+const KEEPALIVE_USED: f64 = 0.8;
+/// A client's patience in seconds where neither it nor the class tells.
+const PATIENCE: f64 = 10.0;
+
+/// What is wrong with a configuration.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The key at fault.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn wrong<T>(key: &str, problem: impl Into<String>) -> Result<T, ConfigError> {
+    Err(ConfigError { key: key.to_owned(), problem: problem.into() })
+}
+
+/// What is told of a class beyond what the module needs.
+#[derive(Clone, Debug)]
+pub struct ClassInfo {
+    /// Its name, the first part of the path.
+    pub name: String,
+    /// How long clients wait where they do not say.
+    pub patience: Micros,
+    /// A job of it comes with an idempotency key.
+    pub keyed: bool,
+}
+
+/// The names of the settings, and the positions in their lists by which the module knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The classes.
+    pub classes: Vec<ClassInfo>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The kinds of machine.
+    pub kinds: Vec<String>,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The name of this dispatcher.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The most connections of clients.
+    pub client_sockets: usize,
+    /// The most connections to workers.
+    pub worker_sockets: usize,
+    /// The settings of the module.
+    pub settings: Settings,
+    /// Names and positions.
+    pub names: Names,
+    /// A connection that is not up after this has failed.
+    pub dial_timeout: Micros,
+    /// An idle connection to a worker is dropped after this.
+    pub idle: Micros,
+    /// The longest deadline of a class.
+    pub longest: Micros,
+    /// The list as last held, and its revision.
+    pub known: (u64, Vec<Listed>),
+}
+
+impl Config {
+    /// Reads the configuration of a dispatcher; `var` looks up a variable of the environment.
+    ///
+    /// # Errors
+    /// The first key that is missing or faulty.
+    pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let Some(path) = var("BALANCER_CONFIG") else {
+            return wrong("BALANCER_CONFIG", "not set; it names the configuration file");
+        };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => return wrong("BALANCER_CONFIG", format!("cannot read {path}: {error}")),
+        };
+        Config::read(&text, var)
+    }
+
+    /// Reads a configuration from its text.
+    ///
+    /// # Errors
+    /// The first key that is missing or faulty.
+    pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let root: Value = match serde_json::from_str(text) {
+            Ok(root) => root,
+            Err(error) => return wrong("configuration", format!("is not JSON: {error}")),
+        };
+        let told = |name: &str, key: &str| {
+            let own = var(name).map(|v| (name.to_owned(), v));
+            own.or_else(|| root[key].as_str().map(|v| (key.to_owned(), v.to_owned())))
+        };
+        let address = |name: &str, key: &str| match told(name, key) {
+            None => wrong(key, "missing; expected an address such as 127.0.0.1:7070"),
+            Some((at, v)) => match v.parse::<SocketAddr>() {
+                Ok(address) => Ok(address),
+                Err(_) => wrong(&at, format!("expected an address such as 127.0.0.1:7070, found '{v}'")),
+            },
+        };
+        let pairs = match &root["settings"] {
+            all @ Value::Object(_) => Pairs::flatten(all),
+            Value::Null => return wrong("settings", "missing"),
+            _ => return wrong("settings", "expected an object"),
+        };
+        let module = settings(&pairs)?;
+        let names = names(&pairs, &module)?;
+        if module.zone as usize >= names.zones.len().max(1) {
+            return wrong("settings.zone", format!("there is no zone number {}", module.zone));
+        }
+        let sockets = match &root["limits"]["sockets"] {
+            Value::Null => SOCKETS,
+            v => match v.as_u64().and_then(|v| usize::try_from(v).ok()).filter(|v| *v >= 2 * SOCKETS_KEPT) {
+                Some(v) => v,
+                None => return wrong("limits.sockets", format!("expected {} or more, found {v}", 80)),
+            },
+        };
+        let client_sockets = (sockets - SOCKETS_KEPT) * CLIENT_SOCKETS / 100;
+        let known = match &root["known"] {
+            Value::Null => (0, Vec::new()),
+            known => match list(known, &names) {
+                Ok(list) => (list.revision, list.members),
+                Err(error) => return wrong(&format!("known.{}", error.key), error.problem),
+            },
+        };
+        let keepalive = pairs.size("caps.keepalive-s", KEEPALIVE)?;
+        Ok(Config {
+            name: told("BALANCER_NAME", "name").map_or_else(|| "cairncrank".to_owned(), |(_, v)| v),
+            listen: address("BALANCER_LISTEN", "listen")?,
+            discovery: address("BALANCER_DISCOVERY", "discovery")?,
+            seed: seed(&root["seed"])?,
+            client_sockets,
+            worker_sockets: sockets - SOCKETS_KEPT - client_sockets,
+            settings: module,
+            dial_timeout: micros(pairs.size("caps.dial-timeout-s", DIAL_TIMEOUT)?.max(0.001)),
+            idle: micros(keepalive * KEEPALIVE_USED),
+            longest: names.classes.iter().map(|c| c.patience).max().unwrap_or(micros(PATIENCE)),
+            names,
+            known,
+        })
+    }
+}
+
+impl From<Bad> for ConfigError {
+    fn from(bad: Bad) -> Self {
+        ConfigError {
+            key: format!("settings.{}", bad.expected),
+            problem: format!("'{}' is no value that it can have", bad.found),
+        }
+    }
+}
+
+/// A seed in hexadecimal digits or as a number; any other text serves as well.
+fn seed(value: &Value) -> Result<u64, ConfigError> {
+    match value {
+        Value::String(s) => Ok(u64::from_str_radix(s, 16).unwrap_or_else(|_| worker_id(s).0)),
+        Value::Number(n) if n.is_u64() => Ok(n.as_u64().unwrap_or_default()),
+        Value::Null => wrong("seed", "missing"),
+        other => wrong("seed", format!("expected hexadecimal digits, found {other}")),
+    }
+}
+
+fn names(pairs: &Pairs<'_>, module: &Settings) -> Result<Names, ConfigError> {
+    let mut classes = Vec::new();
+    for (i, name) in pairs.names("profiles")?.into_iter().enumerate() {
+        let patience = micros(pairs.size(&format!("profiles.{i}.deadline-s"), PATIENCE)?);
+        let keyed = matches!(module.classes[i].repeat, Repeat::Keyed(_));
+        classes.push(ClassInfo { name, patience, keyed });
+    }
+    let tenants = pairs.names("projects")?;
+    let listed = |path: &str| pairs.list(path).map(str::to_owned).collect();
+    let names = Names { classes, tenants, zones: listed("azs"), kinds: listed("flavors") };
+    let unnamed = |list: &str, i: usize| wrong(&format!("settings.{list}.{i}.name"), "missing");
+    if names.classes.is_empty() {
+        return wrong("settings.profiles", "expected one class of request or more");
+    }
+    if let Some(i) = names.classes.iter().position(|c| c.name.is_empty()) {
+        return unnamed("profiles", i);
+    }
+    match names.tenants.iter().position(String::is_empty) {
+        Some(i) => unnamed("projects", i),
+        None => Ok(names),
+    }
+}
+
+/// What discovery tells at once: the whole list, or the entries that changed.
+#[derive(Debug)]
+pub struct List {
+    /// The version.
+    pub revision: u64,
+    /// What part of the list it is.
+    pub scope: Scope,
+    /// The entries.
+    pub members: Vec<Listed>,
+}
+
+/// Reads the list of workers in discovery's form.
+///
+/// # Errors
+/// The first key that is missing or faulty.
+pub fn list(value: &Value, names: &Names) -> Result<List, ConfigError> {
+    let Some(revision) = value["revision"].as_u64() else {
+        return wrong("revision", format!("expected a whole number, found {}", value["revision"]));
+    };
+    let Some(members) = value["members"].as_array() else {
+        return wrong("members", "expected a list");
+    };
+    let mut list = List { revision, scope: Scope::Changes, members: Vec::with_capacity(members.len()) };
+    if value["complete"].as_bool().unwrap_or(false) {
+        list.scope = Scope::Full;
+    }
+    let place: FxHashMap<&str, u32> = names.zones.iter().map(String::as_str).zip(0..).collect();
+    let kinds: FxHashMap<&str, u32> = names.kinds.iter().map(String::as_str).zip(0..).collect();
+    for (i, entry) in members.iter().enumerate() {
+        let at = |key: &str| format!("members.{i}.{key}");
+        let Some(id) = entry["id"].as_str() else { return wrong(&at("id"), "missing") };
+        let state = match entry["phase"].as_str() {
+            Some("in_service") => WorkerState::Serving,
+            Some("terminating") => WorkerState::Draining,
+            Some("terminated") => WorkerState::Gone,
+            _ => {
+                let problem = "expected in_service, terminating or terminated, found ";
+                return wrong(&at("phase"), format!("{problem}{}", entry["phase"]));
+            }
+        };
+        let address = entry["host_port"].as_str().and_then(|v| v.parse().ok());
+        if address.is_none() && state == WorkerState::Serving {
+            return wrong(&at("host_port"), format!("expected an address, found {}", entry["host_port"]));
+        }
+        // A name that the settings do not hold is a zone or kind of its own, and of nobody here.
+        let number = |names: &FxHashMap<&str, u32>, key: &str| {
+            let unknown = names.len() as u32;
+            entry[key].as_str().map_or(unknown, |name| names.get(name).copied().unwrap_or(unknown))
+        };
+        let member = Member {
+            worker: worker_id(id),
+            kind: number(&kinds, "flavor"),
+            zone: number(&place, "locality"),
+            cell: entry["cell"].as_u64().unwrap_or(0) as u32,
+            since: entry["up_since_ms"].as_f64().unwrap_or(0.0) / 1e3,
+            state,
+        };
+        list.members.push(Listed { member, address });
+    }
+    Ok(list)
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,532 @@
+//! One task owns the module, the table of requests and the timers. Everything reaches it as an [`Input`] on
+//! one queue and leaves as a [`Command`] or an [`Answer`]; nothing here knows of sockets or of a protocol.
+//!
+//! It takes no decision. What it adds to the module is bookkeeping: an attempt ends exactly once, a request is
+//! answered exactly once, and nothing outlives its deadline.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::api::{
+    Action, Event, Member, Outcome, Request, RequestId, Scope, Seconds, Settings, WorkerId, WorkerState,
+};
+use crate::log;
+use crate::policy::Dispatcher;
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+
+/// A span in seconds as microseconds.
+pub fn micros(seconds: Seconds) -> Micros {
+    (seconds.max(0.0) * 1e6).round() as Micros
+}
+
+fn seconds(span: Micros) -> Seconds {
+    span as f64 / 1e6
+}
+
+/// The most inputs taken in one turn of the loop.
+const TURN: usize = 128;
+/// A request that the module still holds this long after its deadline is answered without it: it never should.
+const OVERDUE: Micros = 10_000;
+
+/// The monotonic clock, anchored once to Unix time: the module's turns at cold workers use a clock that all
+/// dispatchers share, and workers tell their start in Unix time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    anchor: Micros,
+}
+
+impl Clock {
+    /// Anchors the clock.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), anchor: unix.as_micros() as Micros }
+    }
+
+    /// Microseconds of Unix time, as of the anchor.
+    pub fn now(&self) -> Micros {
+        self.anchor + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// That time for the runtime's timers.
+    pub fn instant(&self, at: Micros) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.saturating_sub(self.anchor))).into()
+    }
+}
+
+/// What a job carries to a worker, unchanged.
+#[derive(Clone, Debug, Default)]
+pub struct Payload {
+    /// The id that the client gave it.
+    pub id: Bytes,
+    /// The method.
+    pub method: Bytes,
+    /// Path and query.
+    pub target: Bytes,
+    /// By which workers know a repeat.
+    pub idempotency_key: Option<Bytes>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A job as it came in.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What the module is told of it; `id` and `patience` are filled in by the engine.
+    pub request: Request,
+    /// How long the client waits.
+    pub patience: Micros,
+    /// What a worker gets of it.
+    pub payload: Payload,
+}
+
+/// The final answer to a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result of a worker.
+    Served(Bytes),
+    /// Declined; trying again does no harm.
+    Refused(Option<Seconds>),
+    /// Failed.
+    Failed,
+}
+
+/// How far an attempt got before it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// There was no connection.
+    Unconnected,
+    /// A part of the request was written at the most.
+    PartWritten,
+    /// Its last byte was written.
+    Written,
+    /// The worker took the job.
+    Started,
+}
+
+impl Reach {
+    /// What a connection that breaks at this point means.
+    pub fn broken(self) -> Outcome {
+        if self < Reach::Written {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::Reset
+        }
+    }
+}
+
+/// An entry of the worker list, with where the worker listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub member: Member,
+    /// Its address, where it has one.
+    pub address: Option<SocketAddr>,
+}
+
+/// What reaches the engine.
+#[derive(Debug)]
+pub enum Input {
+    /// A job, and where its answer goes.
+    Submit(RequestId, Box<Job>, oneshot::Sender<Answer>),
+    /// The client left.
+    Gone(RequestId),
+    /// A worker began a job.
+    Started(RequestId, u32),
+    /// A job is done to this part.
+    Progress(RequestId, u32, f64),
+    /// An attempt ended; the bytes are the result of one that was served.
+    Ended(RequestId, u32, Outcome, Bytes),
+    /// The worker list, or a part of it.
+    List(Scope, Vec<Listed>),
+    /// The program ends: answer what is open.
+    Finish,
+}
+
+/// What the engine wants done.
+#[derive(Debug)]
+pub enum Command {
+    /// Send the job to the worker.
+    Attempt {
+        /// The request.
+        request: RequestId,
+        /// The number of the attempt.
+        attempt: u32,
+        /// Where to.
+        worker: WorkerId,
+        /// What.
+        payload: Rc<Payload>,
+        /// When the dispatcher stops waiting.
+        deadline: Micros,
+    },
+    /// Give an attempt up.
+    Cancel(RequestId, u32),
+    /// Close the idle connections to a worker.
+    CloseIdle(WorkerId),
+    /// Where workers listen, and whether they take work; with [`Scope::Full`] all others are gone.
+    List(Scope, Vec<Listed>),
+}
+
+/// The way to the engine's queue.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    inputs: mpsc::UnboundedSender<Input>,
+    next: Rc<Cell<u64>>,
+}
+
+impl Handle {
+    /// A queue and the way to it. It is as long as there are connections at the most: each has one request
+    /// open, and takes turns with the engine.
+    pub fn queue() -> (Handle, mpsc::UnboundedReceiver<Input>) {
+        let (inputs, queue) = mpsc::unbounded_channel();
+        (Handle { inputs, next: Rc::new(Cell::new(1)) }, queue)
+    }
+
+    /// Tells the engine. One that has ended has no more need to know.
+    pub fn tell(&self, input: Input) {
+        let _ = self.inputs.send(input);
+    }
+
+    /// Hands in a job. Dropping the ticket tells that the client left.
+    pub fn submit(&self, job: Job) -> Ticket {
+        let id = RequestId(self.next.get());
+        self.next.set(id.0 + 1);
+        let (sender, answer) = oneshot::channel();
+        self.tell(Input::Submit(id, Box::new(job), sender));
+        Ticket { id, answer, answered: false, handle: self.clone() }
+    }
+}
+
+/// A job that was handed in.
+#[derive(Debug)]
+pub struct Ticket {
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    answered: bool,
+    handle: Handle,
+}
+
+impl Ticket {
+    /// Waits for the final answer.
+    pub async fn answer(&mut self) -> Answer {
+        let answer = (&mut self.answer).await;
+        self.answered = true;
+        answer.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.handle.tell(Input::Gone(self.id));
+        }
+    }
+}
+
+/// A request in the table.
+struct Open {
+    deadline: Micros,
+    payload: Rc<Payload>,
+    /// Where the answer goes; none once it is concluded.
+    answer: Option<oneshot::Sender<Answer>>,
+    /// The attempts so far: whether each is still out.
+    attempts: Vec<bool>,
+    /// The outcomes so far prove that it never ran.
+    never_ran: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u32),
+    Deadline(RequestId),
+    Overdue(RequestId),
+}
+
+/// The task that owns the module.
+pub struct Engine {
+    dispatcher: Dispatcher,
+    max_attempts: usize,
+    clock: Clock,
+    now: Micros,
+    open: FxHashMap<RequestId, Open>,
+    due: BinaryHeap<Reverse<(Micros, Due)>>,
+    actions: Vec<Action>,
+    /// Ends of attempts that the engine itself caused and the module has not been told yet.
+    ended: VecDeque<(RequestId, u32, Outcome)>,
+    commands: mpsc::UnboundedSender<Command>,
+    finishing: bool,
+}
+
+impl std::fmt::Debug for Engine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Engine").field("now", &self.now).field("open", &self.open.len()).finish()
+    }
+}
+
+impl Engine {
+    /// An engine that knows the list as last held before a restart.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        known: Vec<Listed>,
+        clock: Clock,
+        commands: mpsc::UnboundedSender<Command>,
+    ) -> Engine {
+        let max_attempts = settings.max_attempts.max(1) as usize;
+        let mut engine = Engine {
+            dispatcher: Dispatcher::new(settings, seed),
+            max_attempts,
+            clock,
+            now: clock.now(),
+            open: FxHashMap::default(),
+            due: BinaryHeap::new(),
+            actions: Vec::new(),
+            ended: VecDeque::new(),
+            commands,
+            finishing: false,
+        };
+        engine.dispatcher.start(seconds(engine.now), &mut engine.actions);
+        engine.act();
+        engine.take(Input::List(Scope::Saved, known));
+        engine
+    }
+
+    /// Takes inputs and timers in turns, until nobody can send any.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut turn = Vec::with_capacity(TURN);
+        loop {
+            let next = self.due.peek().map(|Reverse((at, _))| self.clock.instant(*at));
+            let sleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                count = inputs.recv_many(&mut turn, TURN) => if count == 0 { return },
+                () = sleep => {}
+            }
+            self.now = self.clock.now();
+            for input in turn.drain(..) {
+                self.take(input);
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        while let Some(&Reverse((at, due))) = self.due.peek() {
+            if at > self.now {
+                return;
+            }
+            self.due.pop();
+            match due {
+                Due::Module(token) => self.tell(Event::Timer(token)),
+                Due::Attempt(request, attempt) => self.give_up(request, attempt, Outcome::Timeout),
+                Due::Deadline(request) => {
+                    let attempts = self.open.get(&request).map_or(0, |open| open.attempts.len());
+                    for attempt in 0..attempts as u32 {
+                        self.give_up(request, attempt, Outcome::Timeout);
+                    }
+                    if self.open.contains_key(&request) {
+                        self.due.push(Reverse((self.now + OVERDUE, Due::Overdue(request))));
+                    }
+                }
+                Due::Overdue(request) => self.close(request),
+            }
+            self.settle();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Submit(id, job, answer) => self.submit(id, *job, answer),
+            Input::Gone(id) => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    // The module may have answered while the client left.
+                    if open.answer.take().is_some() {
+                        self.tell(Event::ClientGone(id));
+                    }
+                    self.tidy(id);
+                }
+            }
+            Input::Started(request, attempt) => {
+                if self.is_out(request, attempt) {
+                    self.tell(Event::JobStarted { request, attempt });
+                }
+            }
+            Input::Progress(request, attempt, done) => {
+                if self.is_out(request, attempt) {
+                    self.tell(Event::Progress { request, attempt, done });
+                }
+            }
+            Input::Ended(request, attempt, outcome, result) => {
+                if self.is_out(request, attempt) {
+                    self.end(request, attempt, outcome, result);
+                }
+            }
+            Input::List(scope, members) => {
+                let lines: Vec<Member> = members.iter().map(|l| l.member).collect();
+                // The way to a worker must be known before the module can choose it, and barred before it asks.
+                let _ = self.commands.send(Command::List(scope, members));
+                self.tell(Event::List { scope, members: &lines });
+            }
+            Input::Finish => {
+                self.finishing = true;
+                let mut ids: Vec<RequestId> = self.open.keys().copied().collect();
+                ids.sort_unstable();
+                ids.into_iter().for_each(|id| self.close(id));
+            }
+        }
+        self.settle();
+    }
+
+    fn submit(&mut self, id: RequestId, job: Job, answer: oneshot::Sender<Answer>) {
+        if self.finishing {
+            let _ = answer.send(Answer::Refused(None));
+            return;
+        }
+        let deadline = self.now + job.patience;
+        let open = Open {
+            deadline,
+            payload: Rc::new(job.payload),
+            answer: Some(answer),
+            attempts: Vec::new(),
+            never_ran: true,
+        };
+        self.open.insert(id, open);
+        self.due.push(Reverse((deadline, Due::Deadline(id))));
+        self.tell(Event::Request(Request { id, patience: seconds(job.patience), ..job.request }));
+    }
+
+    fn is_out(&self, request: RequestId, attempt: u32) -> bool {
+        let open = self.open.get(&request);
+        open.and_then(|open| open.attempts.get(attempt as usize)).is_some_and(|out| *out)
+    }
+
+    /// Stops waiting for an attempt that is out, and notes its end for the module.
+    fn give_up(&mut self, request: RequestId, attempt: u32, outcome: Outcome) {
+        if self.is_out(request, attempt) {
+            let _ = self.commands.send(Command::Cancel(request, attempt));
+            self.ended.push_back((request, attempt, outcome));
+        }
+    }
+
+    /// Tells the module of the ends that are noted; what it does then may cause more.
+    fn settle(&mut self) {
+        while let Some((request, attempt, outcome)) = self.ended.pop_front() {
+            if self.is_out(request, attempt) {
+                self.end(request, attempt, outcome, Bytes::new());
+            }
+        }
+    }
+
+    fn end(&mut self, request: RequestId, attempt: u32, outcome: Outcome, result: Bytes) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        open.attempts[attempt as usize] = false;
+        open.never_ran &= outcome.never_ran();
+        if outcome == Outcome::Ok {
+            if let Some(answer) = open.answer.take() {
+                let _ = answer.send(Answer::Served(result));
+            }
+        }
+        let complete = open.answer.is_none();
+        self.tell(Event::Ended { request, attempt, outcome, complete, load: None });
+        self.tidy(request);
+    }
+
+    /// Answers a request in the module's stead: it is overdue, or the program ends.
+    fn close(&mut self, request: RequestId) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let harmless = open.never_ran && !open.attempts.contains(&true);
+        if let Some(answer) = open.answer.take() {
+            let _ = answer.send(if harmless { Answer::Refused(None) } else { Answer::Failed });
+            self.tell(Event::ClientGone(request));
+        }
+        let attempts = self.open.get(&request).map_or(0, |open| open.attempts.len() as u32);
+        (0..attempts).for_each(|attempt| self.give_up(request, attempt, Outcome::Cancelled));
+        self.tidy(request);
+    }
+
+    /// Forgets a request once it is concluded and none of its attempts is out.
+    fn tidy(&mut self, request: RequestId) {
+        if self.open.get(&request).is_some_and(|o| o.answer.is_none() && !o.attempts.contains(&true)) {
+            self.open.remove(&request);
+        }
+    }
+
+    fn tell(&mut self, event: Event<'_>) {
+        let (dispatcher, actions, now) = (&mut self.dispatcher, &mut self.actions, seconds(self.now));
+        // A panic of the module costs the event at hand, not the requests of everybody else: each of those
+        // is still answered at its deadline.
+        if catch_unwind(AssertUnwindSafe(|| dispatcher.on_event(now, event, actions))).is_err() {
+            log::line("the decision module panicked; the event is lost");
+        }
+        self.act();
+    }
+
+    fn act(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+                Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
+                Action::Fail { request } => self.answer(request, Answer::Failed),
+                Action::Cancel { request, attempt } => self.give_up(request, attempt, Outcome::Cancelled),
+                Action::SetTimer { after, token } => {
+                    self.due.push(Reverse((self.now + micros(after), Due::Module(token))));
+                }
+                Action::CloseIdle(worker) => {
+                    let _ = self.commands.send(Command::CloseIdle(worker));
+                }
+                Action::Log(words) => log::line(&words),
+                // Discovery is always watched; probes and messages between dispatchers have no form on sockets.
+                Action::Watch(_) | Action::FetchList | Action::Probe(_) | Action::Tell { .. } => {}
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Seconds>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = open.attempts.len() as u32;
+        open.attempts.push(true);
+        if open.answer.is_none() || self.now >= open.deadline || open.attempts.len() > self.max_attempts {
+            return self.ended.push_back((request, attempt, Outcome::Moot));
+        }
+        let wanted = timeout.filter(|t| *t != 0.0).map_or(Micros::MAX, |t| self.now + micros(t));
+        let deadline = wanted.min(open.deadline);
+        if wanted < open.deadline {
+            self.due.push(Reverse((wanted, Due::Attempt(request, attempt))));
+        }
+        let payload = open.payload.clone();
+        let _ = self.commands.send(Command::Attempt { request, attempt, worker, payload, deadline });
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some(sender) = self.open.get_mut(&request).and_then(|open| open.answer.take()) {
+            let _ = sender.send(answer);
+        }
+        self.tidy(request);
+    }
+}
+
+impl Listed {
+    /// It takes new work.
+    pub fn serves(&self) -> bool {
+        self.member.state == WorkerState::Serving
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,12 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod config;
+pub mod engine;
+pub mod log;
+pub mod net;
 pub mod policy;
+mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,112 @@
+//! The command line of the dispatcher.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use cairncrank::config::{Config, ConfigError};
+use cairncrank::net::{self, signal};
+use lexopt::prelude::{Long, Short, Value};
+use lexopt::ValueExt as _;
+
+const USAGE: &str = "\
+cairncrank: a job dispatcher
+
+usage: cairncrank [serve] [--config FILE]    serve jobs (the default)
+       cairncrank check-config [--config FILE]    read the configuration, say what is wrong with it
+       cairncrank version    print the version
+
+The configuration is the file that --config names, or else BALANCER_CONFIG. BALANCER_NAME, BALANCER_LISTEN and
+BALANCER_DISCOVERY win over what it says of them.
+";
+
+/// The exit code of bad usage.
+const BAD_USAGE: u8 = 2;
+
+enum Command {
+    Serve,
+    CheckConfig,
+    Version,
+    Help,
+}
+
+fn arguments() -> Result<(Command, Option<String>), lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let (mut command, mut config) = (None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("config") => config = Some(parser.value()?.string()?),
+            Long("help") | Short('h') => command = Some(Command::Help),
+            Long("version") | Short('V') => command = Some(Command::Version),
+            Value(word) if command.is_none() => {
+                command = Some(match word.string()?.as_str() {
+                    "serve" => Command::Serve,
+                    "check-config" => Command::CheckConfig,
+                    "version" => Command::Version,
+                    "help" => Command::Help,
+                    other => return Err(format!("there is no command '{other}'").into()),
+                });
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok((command.unwrap_or(Command::Serve), config))
+}
+
+fn main() -> ExitCode {
+    let (command, file) = match arguments() {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprint!("cairncrank: {error}\n\n{USAGE}");
+            return ExitCode::from(BAD_USAGE);
+        }
+    };
+    let configuration = || {
+        Config::from_environment(|name| match &file {
+            Some(file) if name == "BALANCER_CONFIG" => Some(file.clone()),
+            _ => std::env::var(name).ok(),
+        })
+    };
+    match command {
+        Command::Help => print!("{USAGE}"),
+        Command::Version => println!("cairncrank {}", env!("CARGO_PKG_VERSION")),
+        Command::CheckConfig => match configuration() {
+            Ok(config) => println!(
+                "{}: serves {} classes on {}, follows {}, knows {} workers",
+                config.name,
+                config.names.classes.len(),
+                config.listen,
+                config.discovery,
+                config.known.1.len()
+            ),
+            Err(error) => return misconfigured(&error),
+        },
+        Command::Serve => match configuration() {
+            Ok(config) => return serve(config),
+            Err(error) => return misconfigured(&error),
+        },
+    }
+    ExitCode::SUCCESS
+}
+
+fn misconfigured(error: &ConfigError) -> ExitCode {
+    eprintln!("cairncrank: configuration: {error}");
+    ExitCode::FAILURE
+}
+
+fn serve(config: Config) -> ExitCode {
+    let run = async {
+        // Caught first: a signal that comes while the rest starts must not kill.
+        let phase = signal::phases(config.longest)?;
+        let listener = tokio::net::TcpListener::bind(config.listen).await?;
+        net::serve(config, listener, phase).await;
+        Ok::<(), std::io::Error>(())
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cairncrank: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/client.rs
@@ -0,0 +1,426 @@
+//! Clients: their connections, their requests as jobs, and the answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::http::{reason, text, Decoder, Framing, Head, Malformed, Piece, Start, MAX_BODY};
+use super::signal::Phase;
+use super::{read_more, write_whole};
+use crate::api::{Request, RequestId};
+use crate::config::Config;
+use crate::engine::{micros, Answer, Handle, Input, Job, Micros, Payload};
+use crate::log;
+use crate::settings::hash;
+
+/// From this part of the connections on, in hundredths, idle ones are closed and new ones refused: a
+/// dispatcher without descriptors could neither accept nor reach a worker.
+const CROWDED: usize = 90;
+/// A client that has begun a request sends the rest of it within this, and reads its answer within it.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// How long bytes that nobody wants are read after the last answer, and how many: a connection closed over
+/// unread bytes is reset, and the answer lost.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 * MAX_BODY;
+/// More than this is not read ahead of an answer.
+const READ_AHEAD: usize = 2 * MAX_BODY;
+/// While the program ends: no connection for this long, and the listener is closed.
+const LAST_CALL: Duration = Duration::from_millis(150);
+/// After an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Without word of discovery, the list as last held serves after this.
+const UNHEARD: Duration = Duration::from_secs(1);
+/// What a refused client is told where the module was not asked, in seconds.
+const COME_BACK: f64 = 1.0;
+
+/// What the connections share.
+struct Shared {
+    config: Rc<Config>,
+    handle: Handle,
+    phase: watch::Receiver<Phase>,
+    ready: watch::Receiver<bool>,
+    crowded: watch::Sender<bool>,
+    since: Instant,
+}
+
+/// Accepts and serves clients until the program has been told to end and all is answered.
+pub async fn accept(
+    config: Rc<Config>,
+    listener: TcpListener,
+    handle: Handle,
+    mut phase: watch::Receiver<Phase>,
+    ready: watch::Receiver<bool>,
+) {
+    let (most, crowd) = (config.client_sockets, config.client_sockets * CROWDED / 100);
+    let (crowded, _) = watch::channel(false);
+    let since = Instant::now();
+    let shared =
+        Rc::new(Shared { config, handle: handle.clone(), phase: phase.clone(), ready, crowded, since });
+    let mut listener = Some(listener);
+    let mut tasks = JoinSet::new();
+    let mut told = false;
+    loop {
+        let now = *phase.borrow_and_update();
+        if now == Phase::Finishing && !std::mem::replace(&mut told, true) {
+            handle.tell(Input::Finish);
+        }
+        if listener.is_none() && tasks.is_empty() {
+            return;
+        }
+        let crowd_now = tasks.len() >= crowd;
+        shared.crowded.send_if_modified(|c| std::mem::replace(c, crowd_now) != crowd_now);
+        let accepted = async {
+            match &listener {
+                Some(listener) if now < Phase::Closing => Some(listener.accept().await),
+                Some(listener) => timeout(LAST_CALL, listener.accept()).await.ok(),
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            Some(done) = tasks.join_next() => {
+                if done.is_err() {
+                    log::line("a connection's task panicked; its connection is closed");
+                }
+            }
+            accepted = accepted, if tasks.len() < most => match accepted {
+                Some(Ok((stream, _))) => {
+                    let _ = stream.set_nodelay(true);
+                    tasks.spawn_local(Connection::serve(stream, shared.clone(), crowd_now));
+                }
+                Some(Err(error)) => {
+                    log::line(&format!("cannot accept: {error}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+                None => listener = None,
+            },
+            changed = phase.changed(), if now < Phase::Finishing => {
+                if changed.is_err() {
+                    // Whoever told the phase is gone: none will follow.
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Why a request is not taken.
+struct Rejected(u16, &'static str);
+
+impl From<Malformed> for Rejected {
+    fn from(malformed: Malformed) -> Self {
+        Rejected(malformed.status(), reason(malformed.status()))
+    }
+}
+
+/// Why a conversation ends.
+enum End {
+    /// In good order.
+    Close,
+    /// There is nobody to talk to any more.
+    Lost,
+    /// After an answer to what cannot be understood.
+    Reject(Rejected),
+}
+
+impl From<Malformed> for End {
+    fn from(malformed: Malformed) -> Self {
+        End::Reject(malformed.into())
+    }
+}
+
+/// One client connection.
+struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+    shared: Rc<Shared>,
+    /// It came when there were too many.
+    surplus: bool,
+}
+
+impl Connection {
+    async fn serve(stream: TcpStream, shared: Rc<Shared>, surplus: bool) {
+        let mut connection = Connection { stream, buf: BytesMut::new(), shared, surplus };
+        let end = loop {
+            match connection.exchange().await {
+                Ok(true) => {}
+                Ok(false) => break End::Close,
+                Err(end) => break end,
+            }
+        };
+        match end {
+            End::Lost => return,
+            End::Close => {}
+            End::Reject(Rejected(status, words)) => {
+                let message = response(status, None, false, Bytes::from_static(words.as_bytes()));
+                if connection.write(message).await.is_err() {
+                    return;
+                }
+            }
+        }
+        let _ = timeout(LINGER, connection.linger()).await;
+    }
+
+    /// Ends the sending and reads what still comes, up to the end.
+    async fn linger(&mut self) {
+        let mut left = LINGER_BYTES;
+        if self.stream.shutdown().await.is_ok() {
+            while left > 0 {
+                self.buf.clear();
+                match read_more(&mut self.stream, &mut self.buf).await {
+                    Ok(true) => left = left.saturating_sub(self.buf.len()),
+                    _ => return,
+                }
+            }
+        }
+    }
+
+    /// One request and its answer; true where the connection stays open for another.
+    async fn exchange(&mut self) -> Result<bool, End> {
+        let Some(head) = self.head().await? else { return Ok(false) };
+        let Start::Request(method, target) = &head.start else { return Err(End::Lost) };
+        let job = self.job(&head, method, target);
+        let body = match timeout(PATIENCE, self.body(&head)).await {
+            Ok(body) => body?,
+            Err(_) => return Err(End::Reject(Rejected(408, "the request did not come in time"))),
+        };
+        let answer = match job {
+            Ok(None) => {
+                let heard = *self.shared.ready.borrow() || self.shared.since.elapsed() >= UNHEARD;
+                let ready = heard && *self.shared.phase.borrow() == Phase::Serving;
+                Ok(if ready { Answer::Served(Bytes::from_static(b"ready\n")) } else { Answer::Refused(None) })
+            }
+            Ok(Some(_)) if self.surplus => Ok(Answer::Refused(Some(COME_BACK))),
+            Ok(Some(mut job)) => {
+                job.payload.body = body;
+                Ok(self.answer(*job).await?)
+            }
+            Err(rejected) => Err(rejected),
+        };
+        let keep = head.keep_alive && !self.surplus && *self.shared.phase.borrow() == Phase::Serving;
+        let message = match answer {
+            Ok(Answer::Served(result)) => response(200, None, keep, result),
+            Ok(Answer::Refused(after)) => {
+                response(503, after, keep, Bytes::from_static(b"try again later\n"))
+            }
+            Ok(Answer::Failed) => response(502, None, keep, Bytes::from_static(b"the job failed\n")),
+            Err(Rejected(status, words)) => {
+                response(status, None, keep, Bytes::from_static(words.as_bytes()))
+            }
+        };
+        self.write(message).await?;
+        Ok(keep)
+    }
+
+    /// The next head; none where the connection ends between requests.
+    async fn head(&mut self) -> Result<Option<Head>, End> {
+        loop {
+            if let Some(head) = Head::request(&mut self.buf)? {
+                return Ok(Some(head));
+            }
+            let idle = self.buf.is_empty();
+            let (mut phase, mut crowded) = (self.shared.phase.clone(), self.shared.crowded.subscribe());
+            let dismissed = async {
+                tokio::select! {
+                    _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
+                    _ = crowded.wait_for(|c| *c) => {}
+                }
+            };
+            let surplus = self.surplus;
+            tokio::select! {
+                biased;
+                read = read_more(&mut self.stream, &mut self.buf) => match read {
+                    Ok(true) => {}
+                    Ok(false) if idle => return Ok(None),
+                    _ => return Err(End::Lost),
+                },
+                () = dismissed, if idle && !surplus => return Ok(None),
+                () = sleep(PATIENCE), if !idle || surplus => {
+                    return Err(End::Reject(Rejected(408, "the request did not come in time")));
+                }
+            }
+        }
+    }
+
+    /// The body, as one slice.
+    async fn body(&mut self, head: &Head) -> Result<Bytes, End> {
+        let expects = head.header_text("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+        if let Framing::Length(length) = head.framing {
+            if length > MAX_BODY as u64 {
+                return Err(Malformed::BodyTooLarge.into());
+            }
+            if expects && (self.buf.len() as u64) < length {
+                self.go_on().await?;
+            }
+            while (self.buf.len() as u64) < length {
+                self.read().await?;
+            }
+            return Ok(self.buf.split_to(length as usize).freeze());
+        }
+        if expects && self.buf.is_empty() {
+            self.go_on().await?;
+        }
+        let mut decoder = Decoder::new(head.framing);
+        let mut body = BytesMut::new();
+        loop {
+            match decoder.next(&mut self.buf)? {
+                Piece::Data(piece) if body.len() + piece.len() > MAX_BODY => {
+                    return Err(Malformed::BodyTooLarge.into());
+                }
+                Piece::Data(piece) => match piece.try_into_mut() {
+                    Ok(first) if body.is_empty() => body = first,
+                    Ok(piece) => body.extend_from_slice(&piece),
+                    Err(piece) => body.extend_from_slice(&piece),
+                },
+                Piece::More => self.read().await?,
+                Piece::End => return Ok(body.freeze()),
+            }
+        }
+    }
+
+    async fn go_on(&mut self) -> Result<(), End> {
+        self.write((Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"), Bytes::new())).await
+    }
+
+    async fn read(&mut self) -> Result<(), End> {
+        match read_more(&mut self.stream, &mut self.buf).await {
+            Ok(true) => Ok(()),
+            _ => Err(End::Lost),
+        }
+    }
+
+    async fn write(&mut self, message: (Bytes, Bytes)) -> Result<(), End> {
+        let mut message = message.0.chain(message.1);
+        match timeout(PATIENCE, write_whole(&mut self.stream, &mut message)).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(End::Lost),
+        }
+    }
+
+    /// Hands the job in and waits for its answer, or for the client to leave.
+    async fn answer(&mut self, job: Job) -> Result<Answer, End> {
+        let mut ticket = self.shared.handle.submit(job);
+        loop {
+            let ahead = self.buf.len() < READ_AHEAD;
+            tokio::select! {
+                biased;
+                answer = ticket.answer() => return Ok(answer),
+                read = read_more(&mut self.stream, &mut self.buf), if ahead => match read {
+                    Ok(true) => {}
+                    // The client has left, or has ended its sending alone: sockets do not tell which. It counts
+                    // as gone, but one that still reads gets a whole answer.
+                    Ok(false) => return Err(End::Reject(Rejected(502, "the client left before the answer"))),
+                    Err(_) => return Err(End::Lost),
+                },
+            }
+        }
+    }
+
+    /// What the head asks for: a job, or none where it asks whether the dispatcher is ready.
+    fn job(&self, head: &Head, method: &Bytes, target: &Bytes) -> Result<Option<Box<Job>>, Rejected> {
+        let names = &self.shared.config.names;
+        let target_text = text(target).filter(|t| t.starts_with('/'));
+        let target_text = target_text.ok_or(Rejected(400, "the target must be a path"))?;
+        let (path, query) = target_text.split_once('?').unwrap_or((target_text, ""));
+        if path == "/healthz" {
+            return match &method[..] {
+                b"GET" | b"HEAD" => Ok(None),
+                _ => Err(Rejected(405, "ask for this with GET")),
+            };
+        }
+        let name = path[1..].split('/').next().unwrap_or("");
+        let class = names.classes.iter().position(|c| c.name == name);
+        let class = class.ok_or(Rejected(404, "there is no such class of request"))?;
+        let info = &names.classes[class];
+        if &method[..] != b"POST" {
+            return Err(Rejected(405, "jobs come by POST"));
+        }
+        let id = head.header("Request-Id").filter(|id| !id.is_empty());
+        let id = id.ok_or(Rejected(400, "Request-Id is missing"))?.clone();
+        let idempotency_key = head.header("Idempotency-Key").filter(|k| !k.is_empty()).cloned();
+        if info.keyed && idempotency_key.is_none() {
+            return Err(Rejected(400, "Idempotency-Key is missing"));
+        }
+        let tenant = match head.header_text("Tenant") {
+            _ if names.tenants.is_empty() => 0,
+            Some(tenant) => {
+                let place = names.tenants.iter().position(|t| t == tenant);
+                place.ok_or(Rejected(400, "there is no such Tenant"))?
+            }
+            None => return Err(Rejected(400, "Tenant is missing")),
+        };
+        let patience = match head.header_text("Request-Timeout-Ms") {
+            // No client waits longer than its class lets it.
+            Some(v) => number::<Micros>(v, "Request-Timeout-Ms")?.saturating_mul(1000).min(info.patience),
+            None => info.patience,
+        };
+        let mut request = Request {
+            id: RequestId(0),
+            class: class as u32,
+            tenant: tenant as u32,
+            slots: 1.0,
+            memory: 0.0,
+            patience: 0.0,
+            expected: None,
+            key: query.split('&').find_map(|p| p.strip_prefix("sid=")).filter(|k| !k.is_empty()).map(key),
+        };
+        for (name, value) in head.header_text("Request-Info").unwrap_or("").split(',').filter_map(pair) {
+            let figure = || number::<f64>(value, "Request-Info").map(|v| v.clamp(0.0, 1e9));
+            match name {
+                "slots" | "cores-needed" => request.slots = figure()?,
+                "memory" | "ram-units" => request.memory = figure()?,
+                "hint" | "expected-s" => request.expected = Some(figure()?).filter(|v| *v > 0.0),
+                _ => {}
+            }
+        }
+        let payload = Payload {
+            id,
+            method: method.clone(),
+            target: target.clone(),
+            idempotency_key,
+            body: Bytes::new(),
+        };
+        Ok(Some(Box::new(Job { request, patience, payload })))
+    }
+}
+
+fn pair(text: &str) -> Option<(&str, &str)> {
+    text.split_once('=').map(|(name, value)| (name.trim(), value.trim()))
+}
+
+fn number<T: std::str::FromStr + PartialOrd + Default>(text: &str, header: &str) -> Result<T, Rejected> {
+    let malformed = match header {
+        "Request-Info" => Rejected(400, "Request-Info holds what is no number"),
+        _ => Rejected(400, "Request-Timeout-Ms is no whole number"),
+    };
+    // Also false for what is neither: not a number.
+    match text.trim().parse::<T>() {
+        Ok(v) if v >= T::default() => Ok(v),
+        _ => Err(malformed),
+    }
+}
+
+/// A key as the module knows it: the same at every dispatcher.
+fn key(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text.as_bytes()))
+}
+
+/// A response, as its head and its body.
+fn response(status: u16, retry_after: Option<f64>, keep: bool, body: Bytes) -> (Bytes, Bytes) {
+    let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    if let Some(after) = retry_after {
+        // Rounded up: a client that comes back early is declined again.
+        let millis = micros(after).div_ceil(1000);
+        head.push_str(&format!("Retry-After: {}.{:03}\r\n", millis / 1000, millis % 1000));
+    }
+    if !keep {
+        head.push_str("Connection: close\r\n");
+    }
+    head.push_str("\r\n");
+    (Bytes::from(head), body)
+}
--- /dev/null
+++ b/src/net/signal.rs
@@ -0,0 +1,59 @@
+//! The phases of a program that is told to end.
+
+use std::time::Duration;
+
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::engine::Micros;
+
+/// New connections keep coming for up to 0.4 s after the signal; this is when clients are sent elsewhere.
+const STILL_COMING: Duration = Duration::from_millis(500);
+/// The longest deadline counts as this where it is longer, and so long after it SIGKILL may come.
+const LONGEST: Micros = 3_000_000;
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// All is answered so long before SIGKILL may come.
+const SPARE: Duration = Duration::from_millis(250);
+
+/// How far the end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Serving.
+    Serving,
+    /// Told to end; clients may not know yet, and all that comes is served.
+    Leaving,
+    /// Connections on which nothing is asked are closed, and no new ones are awaited.
+    Closing,
+    /// Time is up: what is open is answered now.
+    Finishing,
+}
+
+/// Goes through the phases from the first SIGTERM or SIGINT on.
+///
+/// # Errors
+/// The signals cannot be caught.
+pub fn phases(longest: Micros) -> std::io::Result<watch::Receiver<Phase>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (sender, phase) = watch::channel(Phase::Serving);
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        leave(&sender, longest).await;
+    });
+    Ok(phase)
+}
+
+/// The phases after the signal, by the time that a platform leaves before it kills.
+pub async fn leave(phase: &watch::Sender<Phase>, longest: Micros) {
+    phase.send_replace(Phase::Leaving);
+    sleep(STILL_COMING).await;
+    phase.send_replace(Phase::Closing);
+    let until = Duration::from_micros(longest.min(LONGEST)) + KILL_AFTER;
+    sleep(until.saturating_sub(STILL_COMING + SPARE)).await;
+    phase.send_replace(Phase::Finishing);
+    sleep(SPARE).await;
+}
--- /dev/null
+++ b/src/net/worker.rs
@@ -0,0 +1,400 @@
+//! Attempts at workers, and the connections that they use again.
+
+use std::borrow::Cow;
+use std::cell::{Cell, RefCell};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{interval, timeout};
+
+use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
+use super::{read_more, write_whole};
+use crate::api::{Outcome, RequestId, Scope, WorkerId};
+use crate::engine::{Clock, Command, Handle, Input, Micros, Payload, Reach};
+
+/// A line of a worker may be this long: a result as large as a body, with each byte escaped.
+const LONGEST_LINE: usize = 6 * MAX_BODY + 1024;
+/// After the last line of an answer its framing ends soon, or the connection is not used again.
+const TAIL: Duration = Duration::from_millis(200);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// The bounds of the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The most connections.
+    pub sockets: usize,
+    /// A connection that is not up after this has failed.
+    pub dial_timeout: Micros,
+    /// An idle connection is dropped after this.
+    pub idle: Micros,
+}
+
+/// A connection on which nothing is out.
+struct Idle {
+    stream: TcpStream,
+    since: Micros,
+}
+
+impl Idle {
+    /// The worker has neither closed it nor sent anything that nobody asked for. It asks the socket itself:
+    /// what the runtime knows of it may be older.
+    fn usable(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// A worker as the pool knows it.
+struct Peer {
+    address: Cell<Option<SocketAddr>>,
+    /// It takes new work, as far as discovery told.
+    serves: Cell<bool>,
+    /// The last one was used last.
+    idle: RefCell<Vec<Idle>>,
+}
+
+struct Pool {
+    limits: Limits,
+    clock: Clock,
+    handle: Handle,
+    peers: RefCell<FxHashMap<WorkerId, Rc<Peer>>>,
+    /// The attempts that are out.
+    out: RefCell<FxHashMap<(RequestId, u32), AbortHandle>>,
+    /// Connections that are open or coming up.
+    open: Cell<usize>,
+}
+
+/// Counts a connection while it lives.
+struct Counted(Rc<Pool>);
+
+impl Counted {
+    fn new(pool: &Rc<Pool>) -> Counted {
+        pool.open.set(pool.open.get() + 1);
+        Counted(pool.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Carries out commands until the engine ends.
+pub async fn run(
+    limits: Limits,
+    clock: Clock,
+    handle: Handle,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let pool = Rc::new(Pool {
+        limits,
+        clock,
+        handle,
+        peers: RefCell::default(),
+        out: RefCell::default(),
+        open: Cell::new(0),
+    });
+    let mut sweep = interval(SWEEP);
+    loop {
+        tokio::select! {
+            biased;
+            command = commands.recv() => match command {
+                Some(command) => pool.carry_out(command),
+                None => return,
+            },
+            _ = sweep.tick() => pool.sweep(),
+        }
+    }
+}
+
+impl Pool {
+    fn carry_out(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Attempt { request, attempt, worker, payload, deadline } => {
+                let peer = self.peers.borrow().get(&worker).cloned();
+                let end =
+                    End { pool: self.clone(), request, attempt, reach: Reach::Unconnected, told: false };
+                let task = spawn_local(try_at(peer, payload, deadline, end));
+                self.out.borrow_mut().insert((request, attempt), task.abort_handle());
+            }
+            Command::Cancel(request, attempt) => {
+                let task = self.out.borrow_mut().remove(&(request, attempt));
+                if let Some(task) = task {
+                    task.abort();
+                }
+            }
+            Command::CloseIdle(worker) => {
+                if let Some(peer) = self.peers.borrow().get(&worker) {
+                    self.drop_idle(peer, |_| false);
+                }
+            }
+            Command::List(scope, members) => self.list(scope, &members),
+        }
+    }
+
+    fn list(&self, scope: Scope, members: &[crate::engine::Listed]) {
+        let mut peers = self.peers.borrow_mut();
+        if scope != Scope::Changes {
+            // Those that the whole list does not name are gone.
+            peers.values().for_each(|peer| peer.serves.set(false));
+        }
+        for listed in members {
+            let peer = peers.entry(listed.member.worker).or_insert_with(|| {
+                Rc::new(Peer { address: Cell::default(), serves: Cell::default(), idle: RefCell::default() })
+            });
+            if listed.address.is_some() && listed.address != peer.address.get() {
+                peer.address.set(listed.address);
+                self.drop_idle(peer, |_| false);
+            }
+            peer.serves.set(listed.serves());
+        }
+        for peer in peers.values().filter(|peer| !peer.serves.get()) {
+            self.drop_idle(peer, |_| false);
+        }
+        // A peer that no attempt uses and nobody may use again is forgotten.
+        peers.retain(|_, peer| peer.serves.get() || Rc::strong_count(peer) > 1);
+    }
+
+    fn sweep(&self) {
+        let now = self.clock.now();
+        for peer in self.peers.borrow().values() {
+            self.drop_idle(peer, |idle| now < idle.since + self.limits.idle && idle.usable());
+        }
+    }
+
+    /// Drops the idle connections that are not to be kept.
+    fn drop_idle(&self, peer: &Peer, keep: impl Fn(&Idle) -> bool) {
+        let mut idle = peer.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(keep);
+        self.open.set(self.open.get() - (before - idle.len()));
+    }
+
+    /// Makes room for one more connection, at the cost of the one that was idle longest.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.limits.sockets {
+            return true;
+        }
+        let peers = self.peers.borrow();
+        let oldest = peers.values().filter(|p| !p.idle.borrow().is_empty());
+        let Some(peer) = oldest.min_by_key(|p| p.idle.borrow().first().map(|i| i.since)) else {
+            return false;
+        };
+        peer.idle.borrow_mut().remove(0);
+        self.open.set(self.open.get() - 1);
+        true
+    }
+
+    /// The connection that was used last and can still be used.
+    fn reuse(self: &Rc<Self>, peer: &Peer) -> Option<(TcpStream, Counted)> {
+        let now = self.clock.now();
+        loop {
+            let idle = peer.idle.borrow_mut().pop()?;
+            self.open.set(self.open.get() - 1);
+            // A request on a connection that the worker has closed is a reset once written, and may have run.
+            if now < idle.since + self.limits.idle && idle.usable() {
+                return Some((idle.stream, Counted::new(self)));
+            }
+        }
+    }
+
+    fn keep(&self, peer: &Peer, stream: TcpStream, counted: Counted) {
+        if peer.serves.get() {
+            peer.idle.borrow_mut().push(Idle { stream, since: self.clock.now() });
+            self.open.set(self.open.get() + 1);
+        }
+        drop(counted);
+    }
+}
+
+/// Tells the engine of the end of an attempt, exactly once: also of one that panicked.
+struct End {
+    pool: Rc<Pool>,
+    request: RequestId,
+    attempt: u32,
+    reach: Reach,
+    told: bool,
+}
+
+impl End {
+    fn tell(&mut self, outcome: Outcome, result: Bytes) {
+        if !std::mem::replace(&mut self.told, true) {
+            self.pool.out.borrow_mut().remove(&(self.request, self.attempt));
+            self.pool.handle.tell(Input::Ended(self.request, self.attempt, outcome, result));
+        }
+    }
+}
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.tell(self.reach.broken(), Bytes::new());
+    }
+}
+
+/// One attempt. Whatever way it ends early, `end` tells how far it had come.
+async fn try_at(peer: Option<Rc<Peer>>, payload: Rc<Payload>, deadline: Micros, mut end: End) {
+    let Some(peer) = peer else { return };
+    let pool = end.pool.clone();
+    let (mut stream, counted) = match pool.reuse(&peer) {
+        Some(kept) => kept,
+        None => match dial(&pool, &peer).await {
+            Some(new) => new,
+            None => return,
+        },
+    };
+    // Checked here and not before: the worker may have begun to drain while the connection came up, and what
+    // is written later than the grace breaks the rule on drains.
+    if !peer.serves.get() {
+        return;
+    }
+    let head = request_head(&payload, deadline.saturating_sub(pool.clock.now()));
+    let mut message = head.chain(payload.body.clone());
+    end.reach = Reach::PartWritten;
+    let written = write_whole(&mut stream, &mut message).await;
+    if !message.has_remaining() {
+        end.reach = Reach::Written;
+    }
+    if written.is_err() {
+        return;
+    }
+    if answer(&mut stream, &payload, &mut end).await == Some(true) {
+        pool.keep(&peer, stream, counted);
+    }
+}
+
+async fn dial(pool: &Rc<Pool>, peer: &Peer) -> Option<(TcpStream, Counted)> {
+    let address = peer.address.get()?;
+    if !pool.make_room() {
+        return None;
+    }
+    let counted = Counted::new(pool);
+    let stream = timeout(Duration::from_micros(pool.limits.dial_timeout), TcpStream::connect(address)).await;
+    let stream = stream.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some((stream, counted))
+}
+
+fn request_head(payload: &Payload, patience: Micros) -> Bytes {
+    let mut head = BytesMut::with_capacity(256 + payload.target.len());
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
+    put(&[&payload.method, b" ", &payload.target, b" HTTP/1.1\r\nHost: backend.local\r\n"]);
+    put(&[b"Request-Id: ", &payload.id, b"\r\n"]);
+    if let Some(key) = &payload.idempotency_key {
+        put(&[b"Idempotency-Key: ", key, b"\r\n"]);
+    }
+    put(&[b"Request-Timeout-Ms: ", patience.div_ceil(1000).to_string().as_bytes(), b"\r\n"]);
+    put(&[b"Content-Length: ", payload.body.len().to_string().as_bytes(), b"\r\n\r\n"]);
+    head.freeze()
+}
+
+/// A line of a worker's answer.
+#[derive(Deserialize)]
+struct Line<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    #[serde(default)]
+    share: f64,
+    #[serde(borrow, default)]
+    result: Option<&'a RawValue>,
+}
+
+/// The result of a job: the text of a JSON string as a slice of its line where nothing in it is escaped.
+fn result(line: &Bytes, raw: Option<&RawValue>) -> Option<Bytes> {
+    let raw = raw?.get();
+    match raw.strip_prefix('"').and_then(|r| r.strip_suffix('"')) {
+        Some(plain) if !plain.contains('\\') => Some(line.slice_ref(plain.as_bytes())),
+        Some(_) => serde_json::from_str::<String>(raw).ok().map(Bytes::from),
+        None => Some(line.slice_ref(raw.as_bytes())),
+    }
+}
+
+/// Reads the answer to an attempt and tells how it ended. True where the connection can be used again; none
+/// where it broke before the end of the attempt was known.
+async fn answer(stream: &mut TcpStream, payload: &Payload, end: &mut End) -> Option<bool> {
+    let mut buf = BytesMut::new();
+    let head = loop {
+        match Head::response(&mut buf).ok()? {
+            // An interim response says nothing of the outcome.
+            Some(head) if matches!(head.start, Start::Response(100..=199)) => {}
+            Some(head) => break head,
+            None if read_more(stream, &mut buf).await.ok()? => {}
+            None => return None,
+        }
+    };
+    let status = match head.start {
+        Start::Response(status) => status,
+        Start::Request(..) => return None,
+    };
+    if status == 200 {
+        end.reach = Reach::Started;
+    } else {
+        let unstarted = matches!(status, 503 | 504) && head.header_text("Not-Started") == Some("1");
+        end.tell(if unstarted { Outcome::Full } else { Outcome::Error }, Bytes::new());
+    }
+    let mut body = Decoder::new(head.framing);
+    let mut lines = Lines::default();
+    loop {
+        match body.next(&mut buf).ok()? {
+            Piece::Data(_) if end.told => {}
+            Piece::Data(data) => {
+                lines.add(data, LONGEST_LINE).ok()?;
+                while let Some(line) = lines.next_line() {
+                    take_line(&line, payload, end)?;
+                }
+            }
+            Piece::End => {
+                take_line(&lines.rest(), payload, end)?;
+                return end.told.then_some(head.keep_alive && buf.is_empty());
+            }
+            Piece::More if end.told => {
+                // All is known; the framing may still end in time for the connection to be of use.
+                if !timeout(TAIL, read_more(stream, &mut buf)).await.ok()?.ok()? {
+                    return None;
+                }
+            }
+            Piece::More => {
+                if !read_more(stream, &mut buf).await.ok()? {
+                    take_line(&lines.rest(), payload, end)?;
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Takes one line; none where it makes no sense, or is not of this request.
+fn take_line(line: &Bytes, payload: &Payload, end: &mut End) -> Option<()> {
+    if end.told || line.trim_ascii().is_empty() {
+        return Some(());
+    }
+    let told: Line<'_> = serde_json::from_slice(line).ok()?;
+    if told.id.as_bytes() != payload.id {
+        return None;
+    }
+    let (request, attempt) = (end.request, end.attempt);
+    match &*told.state {
+        "started" => end.pool.handle.tell(Input::Started(request, attempt)),
+        "running" => end.pool.handle.tell(Input::Progress(request, attempt, told.share)),
+        "done" => end.tell(Outcome::Ok, result(line, told.result)?),
+        "failed" => end.tell(Outcome::Error, Bytes::new()),
+        "returned" => end.tell(Outcome::Full, Bytes::new()),
+        "lost" => end.tell(Outcome::Reset, Bytes::new()),
+        _ => {}
+    }
+    Some(())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,19 +5,19 @@
 //! name, so it is the same in every process.
 
 use std::fmt::{self, Write as _};
-use std::hash::Hasher as _;
 use std::io::{self, BufRead, Write};
 use std::str::{FromStr, Split};
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine as _;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 
 use crate::api::{
-    Action, Class, Event, Group, Load, Member, Outcome, Repeat, Reports, Request, RequestId, Scope, Seconds,
-    Settings, Tenant, WorkerId, WorkerState,
+    Action, Event, Load, Member, Outcome, Request, RequestId, Scope, Seconds, WorkerId, WorkerState,
 };
 use crate::policy::Dispatcher;
+pub use crate::settings::worker_id;
+use crate::settings::{bad, settings, Bad, Pairs, Parsed};
 
 /// How many numbered worker lists the wire keeps.
 const LISTS: usize = 16;
@@ -71,18 +71,6 @@
     }
 }
 
-/// A line that is not as it should be, before its number is known.
-struct Bad {
-    expected: String,
-    found: String,
-}
-
-type Parsed<T> = Result<T, Bad>;
-
-fn bad<T>(expected: &str, found: &str) -> Parsed<T> {
-    Err(Bad { expected: expected.to_owned(), found: found.chars().take(80).collect() })
-}
-
 /// The values of one line, in order; `-` and values left off the end are absent.
 struct Fields<'a>(Split<'a, char>);
 
@@ -122,16 +110,6 @@
     }
 }
 
-/// The number by which the module knows a worker.
-pub fn worker_id(name: &str) -> WorkerId {
-    let mut hasher = FxHasher::default();
-    hasher.write(name.as_bytes());
-    // FxHash leaves the low bits of like names alike; one more round spreads them over all bits.
-    let mut h = hasher.finish();
-    h = (h ^ (h >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    WorkerId(h ^ (h >> 32))
-}
-
 /// The meaning of one place in a load report.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Field {
@@ -141,134 +119,22 @@
     Other,
 }
 
-/// The settings of an instance, with what the wire alone needs.
-struct Start {
-    settings: Settings,
-    report: Vec<Field>,
-}
-
-/// The path=value pairs of an `INIT` line.
-struct Pairs<'a>(FxHashMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    fn read(fields: Split<'a, char>) -> Parsed<Self> {
-        let mut pairs = FxHashMap::default();
-        for pair in fields.filter(|p| !p.is_empty() && *p != "-") {
-            match pair.split_once('=') {
-                Some((path, value)) => pairs.insert(path, value),
-                None => return bad("settings as path=value", pair),
-            };
-        }
-        Ok(Pairs(pairs))
-    }
-
-    fn get<T: FromStr>(&self, path: &str, default: T) -> Parsed<T> {
-        match self.0.get(path) {
-            None => Ok(default),
-            Some(v) => v.parse().or_else(|_| bad(path, v)),
-        }
-    }
-
-    /// A finite number that is not negative.
-    fn size(&self, path: &str, default: f64) -> Parsed<f64> {
-        match self.get(path, default)? {
-            v if v.is_finite() && v >= 0.0 => Ok(v),
-            v => bad(path, &v.to_string()),
-        }
-    }
-
-    fn word(&self, path: &str) -> &'a str {
-        self.0.get(path).copied().unwrap_or("")
-    }
-
-    fn list(&self, path: &str) -> impl Iterator<Item = &'a str> {
-        self.word(path).split(',').filter(|v| !v.is_empty())
-    }
-
-    /// The value at a class's place in a list.
-    fn nth<T: FromStr>(&self, path: &str, n: usize) -> Parsed<Option<T>> {
-        match self.list(path).nth(n) {
-            None => Ok(None),
-            Some(v) => v.parse().map(Some).or_else(|_| bad(path, v)),
-        }
-    }
-}
-
-fn settings(pairs: &Pairs<'_>) -> Parsed<Start> {
-    let d = Settings::default();
-    let mut classes = Vec::new();
-    for i in 0..pairs.get::<usize>("profiles.count", 0)?.min(4096) {
-        let at = |key: &str| format!("profiles.{i}.{key}");
-        let c = Class::default();
-        let repeat = match (pairs.word(&at("idempotency")), pairs.word(&at("key-scope"))) {
-            ("free", _) => Repeat::Safe,
-            ("guarded", "zone") => Repeat::Keyed(Group::Zone),
-            ("guarded", "cell") => Repeat::Keyed(Group::Cell),
-            ("guarded", _) => Repeat::Keyed(Group::All),
-            _ => Repeat::Unsafe,
-        };
-        let stretch = pairs.nth("family-info.class-stretch", i)?.unwrap_or(c.stretch);
-        classes.push(Class {
-            repeat,
-            window: pairs.size(&at("window-s"), c.window)?,
-            aim: pairs.size(&at("promise-s"), c.aim)?,
-            stretch: pairs.size(&at("aim-stretch"), stretch)?,
-            late_worth: pairs.size(&at("late-worth"), c.late_worth)?,
-            kind: pairs.nth::<i64>("family-info.class-kind", i)?.and_then(|k| u32::try_from(k).ok()),
-        });
-    }
-    let mut tenants = Vec::new();
-    for i in 0..pairs.get::<usize>("projects.count", 0)?.min(4096) {
-        tenants.push(Tenant {
-            share: pairs.size(&format!("projects.{i}.share"), 1.0)?,
-            quota: pairs.size(&format!("projects.{i}.quota-per-s"), 0.0)?,
-        });
-    }
+/// The meaning of each place in a load report.
+fn report(pairs: &Pairs<'_>) -> Vec<Field> {
     let meaning = |name: &str| match name {
         "free_slots" => Field::FreeSlots,
         "free_memory" => Field::FreeMemory,
         "queue" => Field::Queue,
         _ => Field::Other,
     };
-    let report = pairs
+    pairs
         .list("report.names")
         .map(|name| match name {
             "x0" => meaning(pairs.word("family-info.report-x0")),
             "x1" => meaning(pairs.word("family-info.report-x1")),
             name => meaning(name),
         })
-        .collect();
-    let settings = Settings {
-        instance: pairs.get("slot-no", d.instance)?,
-        instances: pairs.get("balancers", d.instances)?,
-        zone: pairs.get("zone", d.zone)?,
-        classes,
-        tenants,
-        ask_for_list: pairs.word("discovery") == "ask",
-        ask_within: pairs.size("obligations.ask-within-s", d.ask_within)?,
-        reports: match pairs.word("report.how") {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probes,
-            _ => Reports::None,
-        },
-        may_probe: pairs.get("caps.probes", d.may_probe)?,
-        probe_price: pairs.size("charges.probe", d.probe_price)?,
-        may_cancel: pairs.get("caps.cancel", d.may_cancel)?,
-        max_attempts: pairs.get("caps.send-cap", d.max_attempts)?,
-        max_retry_after: if pairs.get("caps.retry-after", false)? {
-            pairs.size("caps.max-retry-after-s", d.max_retry_after)?
-        } else {
-            0.0
-        },
-        tells_start: pairs.get("family-info.tells-start", d.tells_start)?,
-        cold_share: pairs.size("obligations.cold-share", d.cold_share)?,
-        warm_within: pairs.size("obligations.warm-within-s", d.warm_within)?,
-        fall_multiple: pairs.size("obligations.fall-multiple", d.fall_multiple)?,
-        fall_span: pairs.size("obligations.tip-after-s", d.fall_span)?,
-        cross_zone_price: pairs.size("charges.cross-zone", d.cross_zone_price)?,
-        resolution: pairs.size("resolution-s", d.resolution)?,
-    };
-    Ok(Start { settings, report })
+        .collect()
 }
 
 /// One hosted dispatcher.
@@ -407,10 +273,10 @@
                     return bad("CONTEXT before INIT", line);
                 }
                 let seed = fields.need("a seed")?;
-                let start = settings(&Pairs::read(fields.0)?)?;
-                let mut dispatcher = Dispatcher::new(start.settings, seed);
+                let pairs = Pairs::read(fields.0)?;
+                let mut dispatcher = Dispatcher::new(settings(&pairs)?, seed);
                 dispatcher.start(self.now, &mut self.actions);
-                self.instances.insert(self.context.clone(), Instance { dispatcher, report: start.report });
+                self.instances.insert(self.context.clone(), Instance { dispatcher, report: report(&pairs) });
                 self.write_actions();
             }
             "KILL" => {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::*;
 use cairncrank::api::*;
+use common::*;
 
 /// A dispatcher that may ask its twelve workers at this price.
 fn asking(probe_price: f64) -> Driver {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use cairncrank::api::*;
 use common::*;
 use fastrand::Rng;
-use cairncrank::api::*;
 
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Ok,
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use cairncrank::api::*;
 use common::*;
 use fastrand::Rng;
-use cairncrank::api::*;
 
 /// One tenant whose R stays at 1.5 times its quota, as no attempt ends; nothing gates, as no load is told.
 fn plain(quota: f64) -> Settings {
