--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -67,10 +67,10 @@
     let mut told = false;
     loop {
         let now = *phase.borrow_and_update();
-        if now == Phase::Finishing && !std::mem::replace(&mut told, true) {
+        if now >= Phase::Finishing && !std::mem::replace(&mut told, true) {
             handle.tell(Input::Finish);
         }
-        if listener.is_none() && tasks.is_empty() {
+        if now == Phase::Over || listener.is_none() && tasks.is_empty() {
             return;
         }
         let crowd_now = tasks.len() >= crowd;
@@ -99,7 +99,7 @@
                 }
                 None => listener = None,
             },
-            changed = phase.changed(), if now < Phase::Finishing => {
+            changed = phase.changed() => {
                 if changed.is_err() {
                     // Whoever told the phase is gone: none will follow.
                     return;
--- a/src/net/signal.rs
+++ b/src/net/signal.rs
@@ -27,6 +27,8 @@
     Closing,
     /// Time is up: what is open is answered now.
     Finishing,
+    /// What has no answer by now has no whole request, or does not read.
+    Over,
 }
 
 /// Goes through the phases from the first SIGTERM or SIGINT on.
@@ -55,5 +57,6 @@
     let until = Duration::from_micros(longest.min(LONGEST)) + KILL_AFTER;
     sleep(until.saturating_sub(STILL_COMING + SPARE)).await;
     phase.send_replace(Phase::Finishing);
-    sleep(SPARE).await;
+    sleep(SPARE / 2).await;
+    phase.send_replace(Phase::Over);
 }
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,347 @@
+//! The scenario language: one step a line, played in order against a dispatcher in this process.
+//!
+//! | step | meaning |
+//! | --- | --- |
+//! | `set PATH JSON` | a figure of the configuration, before the first other step |
+//! | `workers N` | so many workers, the same way |
+//! | `PARTY send raw TEXT` | these bytes; `\r`, `\n` and `*N` (the byte before, N times) are understood |
+//! | `PARTY send job ID [HEADER]...` | a job of class `safe`; `keyed` after the id: of class `keyed` |
+//! | `PARTY send ok`, `line JSON`, `end` | a chunked 200, one line of it, its last chunk |
+//! | `PARTY send done ID RESULT` | the three of these: a whole answer |
+//! | `PARTY send list REVISION whole|changes [N=PHASE]...` | a line of discovery on these workers |
+//! | `PARTY expect` | one whole message, noted in the transcript |
+//! | `PARTY expect close` | the end of the connection, with nothing before it |
+//! | `PARTY close [sending]` | close the connection, or one direction of it |
+//! | `wait MS` | let time pass |
+//! | `program send TERM`, `program expect` | the signal; the program's end |
+//! | `listener N close`, `jam`, `free` | worker N refuses connections; lets none come up; lets them again |
+//!
+//! `client...` connects at its first step; `worker...` is the next connection that any worker gets and
+//! `discovery...` the next one that discovery gets. Each wait for something is bounded, far above what a slow
+//! machine needs, so that only a real fault fails.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use cairncrank::config::Config;
+use cairncrank::net::http::{Decoder, Head, Piece, Start};
+use cairncrank::net::{self, signal};
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, timeout};
+
+/// No wait for something that must come takes longer.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Plays a script; returns the transcript.
+pub fn play(script: &str) -> String {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut stage = Stage::set(script).await;
+        for step in script.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
+            match timeout(LIMIT, stage.step(step)).await {
+                Ok(()) => {}
+                Err(_) => panic!("nothing came at '{step}'; so far:\n{}", stage.transcript),
+            }
+        }
+        stage.transcript
+    })
+}
+
+/// One end of a connection.
+struct Party {
+    stream: TcpStream,
+    buf: BytesMut,
+    is_server: bool,
+}
+
+struct Stage {
+    parties: HashMap<String, Party>,
+    front: SocketAddr,
+    at_workers: mpsc::UnboundedReceiver<TcpStream>,
+    at_discovery: mpsc::UnboundedReceiver<TcpStream>,
+    listeners: Vec<(JoinHandle<()>, SocketAddr)>,
+    jam: Vec<socket2::Socket>,
+    jammed: Option<TcpStream>,
+    phase: watch::Sender<signal::Phase>,
+    program: JoinHandle<()>,
+    longest: u64,
+    transcript: String,
+}
+
+/// A listener whose connections go to the queue.
+async fn listen(queue: mpsc::UnboundedSender<TcpStream>) -> (JoinHandle<()>, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let task = spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = queue.send(stream);
+        }
+    });
+    (task, address)
+}
+
+fn put(root: &mut Value, path: &str, value: Value) {
+    let place = path.split('.').fold(root, |at, key| match key.parse::<usize>() {
+        Ok(i) => &mut at[i],
+        Err(_) => &mut at[key],
+    });
+    *place = value;
+}
+
+impl Stage {
+    async fn set(script: &str) -> Stage {
+        let (to_workers, at_workers) = mpsc::unbounded_channel();
+        let (to_discovery, at_discovery) = mpsc::unbounded_channel();
+        let mut config = json!({
+            "name": "n1", "seed": "1", "listen": "127.0.0.1:0",
+            "discovery": listen(to_discovery).await.1.to_string(),
+            "known": {"revision": 5, "complete": true, "members": []},
+            "settings": {
+                "azs": ["north"], "flavors": ["m1"], "balancers": 1, "slot-no": 0, "zone": 0,
+                "profiles": [
+                    {"name": "safe", "idempotency": "free", "promise-s": 5.0, "deadline-s": 20.0},
+                    {"name": "keyed", "idempotency": "guarded", "key-scope": "cell", "window-s": 15.0,
+                     "promise-s": 5.0, "deadline-s": 20.0}],
+                "projects": [{"name": "acme", "share": 1.0, "quota-per-s": 1000.0}],
+                "caps": {"cancel": true, "send-cap": 4, "retry-after": true, "max-retry-after-s": 2.0,
+                         "dial-timeout-s": 10.0, "keepalive-s": 60.0},
+                "obligations": {"drain-grace-s": 0.5},
+                "family-info": {"tells-start": true}, "resolution-s": 0.005}});
+        let mut workers = 1;
+        for words in script.lines().map(|l| l.split_whitespace().collect::<Vec<_>>()) {
+            match words[..] {
+                ["set", path, value] => put(&mut config, path, value.parse().expect("JSON")),
+                ["workers", n] => workers = n.parse().expect("a number"),
+                _ => {}
+            }
+        }
+        let mut listeners = Vec::new();
+        for i in 1..=workers {
+            listeners.push(listen(to_workers.clone()).await);
+            let entry = member(i, listeners[i - 1].1, "in_service");
+            config["known"]["members"].as_array_mut().expect("a list").push(entry);
+        }
+        let config = Config::read(&config.to_string(), |_| None).expect("a configuration");
+        let longest = config.longest;
+        let front = TcpListener::bind(config.listen).await.expect("a port");
+        let address = front.local_addr().expect("an address");
+        let (phase, phases) = watch::channel(signal::Phase::Serving);
+        let program = spawn_local(net::serve(config, front, phases));
+        Stage {
+            parties: HashMap::new(),
+            front: address,
+            at_workers,
+            at_discovery,
+            listeners,
+            jam: Vec::new(),
+            jammed: None,
+            phase,
+            program,
+            longest,
+            transcript: String::new(),
+        }
+    }
+
+    async fn step(&mut self, step: &str) {
+        let _ = writeln!(self.transcript, "{step}");
+        let words: Vec<&str> = step.split_whitespace().collect();
+        match words[..] {
+            ["set" | "workers", ..] => {}
+            ["wait", ms] => sleep(Duration::from_millis(ms.parse().expect("milliseconds"))).await,
+            ["program", "send", "TERM"] => {
+                let (phase, longest) = (self.phase.clone(), self.longest);
+                spawn_local(async move { signal::leave(&phase, longest).await });
+            }
+            ["program", "expect"] => (&mut self.program).await.expect("an orderly end"),
+            ["listener", n, "close"] => {
+                let task = &mut self.listeners[n.parse::<usize>().expect("a number") - 1].0;
+                task.abort();
+                let _ = task.await;
+            }
+            ["listener", n, "jam"] => self.jam(n.parse().expect("a number")).await,
+            ["listener", _, "free"] => self.free().await,
+            [name, "send", what, ..] => {
+                let rest = step.splitn(4, ' ').nth(3).unwrap_or("");
+                let bytes = self.bytes(what, rest);
+                let _ = self.party(name).await.stream.write_all(&bytes).await;
+            }
+            [name, "expect"] => {
+                let seen = self.party(name).await.message().await;
+                let _ = writeln!(self.transcript, "{seen}");
+            }
+            [name, "expect", "close"] => {
+                let party = self.party(name).await;
+                while matches!(party.stream.read_buf(&mut party.buf).await, Ok(1..)) {}
+                let seen = String::from_utf8_lossy(&party.buf).into_owned();
+                assert!(seen.is_empty(), "{name}: expected the end, found {seen:?}\n{}", self.transcript);
+            }
+            [name, "close"] => drop(self.parties.remove(name)),
+            [name, "close", "sending"] => {
+                let _ = self.party(name).await.stream.shutdown().await;
+            }
+            _ => panic!("no step of the language: {step}"),
+        }
+    }
+
+    /// The party of this name, which may have to come first.
+    async fn party(&mut self, name: &str) -> &mut Party {
+        if !self.parties.contains_key(name) {
+            let (stream, is_server) = match name {
+                _ if name.starts_with("client") => (TcpStream::connect(self.front).await.ok(), false),
+                _ if name.starts_with("worker") => (self.at_workers.recv().await, true),
+                _ if name.starts_with("discovery") => (self.at_discovery.recv().await, true),
+                _ => panic!("nobody is called {name}"),
+            };
+            let stream = stream.expect("a connection");
+            self.parties.insert(name.to_owned(), Party { stream, buf: BytesMut::new(), is_server });
+        }
+        self.parties.get_mut(name).expect("a party")
+    }
+
+    fn bytes(&self, what: &str, rest: &str) -> Vec<u8> {
+        let chunk = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        match what {
+            "raw" => unescape(rest),
+            "job" => {
+                let mut words = rest.split(' ').peekable();
+                let id = words.next().unwrap_or("");
+                let class = words.next_if_eq(&"keyed").unwrap_or("safe");
+                let key = if class == "keyed" { "Idempotency-Key: k\r\n" } else { "" };
+                let more: String = words.map(|w| format!("{}\r\n", w.replacen('=', ": ", 1))).collect();
+                format!(
+                    "POST /{class}?sid=7f HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nTenant: acme\r\n\
+                     {key}{more}Content-Length: 2\r\n\r\nhi"
+                )
+                .into_bytes()
+            }
+            "ok" => ok.into(),
+            "line" => chunk(rest).into_bytes(),
+            "end" => b"0\r\n\r\n".to_vec(),
+            "done" => {
+                let (id, result) = rest.split_once(' ').expect("an id and a result");
+                let line = json!({"id": id, "from": "w", "state": "done", "result": result}).to_string();
+                format!("{ok}{}0\r\n\r\n", chunk(&line)).into_bytes()
+            }
+            "list" => {
+                // REVISION whole|changes (NUMBER=PHASE)...
+                let mut words = rest.split(' ');
+                let revision: u64 = words.next().and_then(|w| w.parse().ok()).expect("a revision");
+                let complete = words.next() == Some("whole");
+                let entries = words.map(|w| {
+                    let (n, phase) = w.split_once('=').expect("NUMBER=PHASE");
+                    let n: usize = n.parse().expect("a number");
+                    member(n, self.listeners[n - 1].1, phase)
+                });
+                let members: Vec<Value> = entries.collect();
+                let list = json!({"revision": revision, "complete": complete, "members": members});
+                chunk(&list.to_string()).into_bytes()
+            }
+            other => panic!("nobody can send '{other}'"),
+        }
+    }
+
+    /// Replaces a worker's listener by one that has no room for a connection.
+    async fn jam(&mut self, n: usize) {
+        let (task, address) = &mut self.listeners[n - 1];
+        task.abort();
+        let _ = task.await;
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_reuse_address(true).expect("a reusable address");
+        socket.bind(&(*address).into()).expect("the same address");
+        socket.listen(0).expect("a listener");
+        self.jam = vec![socket];
+        self.jammed = timeout(LIMIT, TcpStream::connect(*address)).await.ok().and_then(Result::ok);
+        assert!(self.jammed.is_some(), "one connection fills it");
+    }
+
+    /// Makes room again: the next connection that comes up is a worker's.
+    async fn free(&mut self) {
+        self.jammed = None;
+        let listener: std::net::TcpListener = self.jam.pop().expect("a jammed listener").into();
+        listener.set_nonblocking(true).expect("a listener");
+        let listener = TcpListener::from_std(listener).expect("a listener");
+        let _ = listener.accept().await;
+        let (queue, at_workers) = mpsc::unbounded_channel();
+        self.at_workers = at_workers;
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = queue.send(stream);
+            }
+        });
+    }
+}
+
+impl Party {
+    /// Reads one message; what depends on the time is masked.
+    async fn message(&mut self) -> String {
+        let head = loop {
+            let read =
+                if self.is_server { Head::request(&mut self.buf) } else { Head::response(&mut self.buf) };
+            match read.expect("a readable head") {
+                Some(head) => break head,
+                None => match self.stream.read_buf(&mut self.buf).await {
+                    Ok(0) | Err(_) => return "    (the connection ended)".to_owned(),
+                    Ok(_) => {}
+                },
+            }
+        };
+        let mut seen = match &head.start {
+            Start::Request(method, target) => {
+                format!("    {} {}", String::from_utf8_lossy(method), String::from_utf8_lossy(target))
+            }
+            Start::Response(status) => format!("    {status}"),
+        };
+        for (name, value) in &head.headers {
+            let name = String::from_utf8_lossy(name);
+            let value = String::from_utf8_lossy(value);
+            match &*name {
+                "Host" | "Content-Length" => {}
+                "Request-Timeout-Ms" | "Retry-After" => seen.push_str(&format!(", {name}: (figure)")),
+                _ => seen.push_str(&format!(", {name}: {value}")),
+            }
+        }
+        let (mut body, mut decoder) = (Vec::new(), Decoder::new(head.framing));
+        loop {
+            match decoder.next(&mut self.buf).expect("a readable body") {
+                Piece::Data(data) => body.extend_from_slice(&data),
+                Piece::End => break,
+                Piece::More => {
+                    let read = self.stream.read_buf(&mut self.buf).await;
+                    assert!(matches!(read, Ok(1..)), "the body ended early after {seen}");
+                }
+            }
+        }
+        match body.len() {
+            0..=200 => format!("{seen}\n    {:?}", String::from_utf8_lossy(&body)),
+            long => format!("{seen}\n    ({long} bytes)"),
+        }
+    }
+}
+
+fn member(n: usize, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": format!("w{n}"), "host_port": address.to_string(), "locality": "north", "flavor": "m1",
+           "cell": n, "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+fn unescape(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = text.replace("\\r", "\r").replace("\\n", "\n");
+    while let Some(star) = rest.find('*') {
+        let digits: String = rest[star + 1..].chars().take_while(char::is_ascii_digit).collect();
+        out.extend_from_slice(&rest.as_bytes()[..star]);
+        let last = *out.last().expect("a byte before");
+        out.extend(std::iter::repeat_n(last, digits.parse::<usize>().expect("a count") - 1));
+        rest = rest[star + 1 + digits.len()..].to_owned();
+    }
+    out.extend_from_slice(rest.as_bytes());
+    out
+}
