--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,191 @@
+//! The engine without sockets: what the queue promises whatever the network does.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cairncrank::api::{
+    Class, Member, Outcome, Repeat, Request, RequestId, Scope, Settings, Tenant, WorkerId, WorkerState,
+};
+use cairncrank::engine::{
+    Answer, Clock, Command, Engine, Handle, Input, Job, Listed, Payload, Reach, Ticket,
+};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+/// An engine, the way to it, and what it wants done.
+struct Bench {
+    handle: Handle,
+    commands: mpsc::UnboundedReceiver<Command>,
+}
+
+impl Bench {
+    fn start(quota: f64) -> Bench {
+        let settings = Settings {
+            classes: vec![Class { repeat: Repeat::Safe, aim: 0.2, ..Class::default() }],
+            tenants: vec![Tenant { share: 1.0, quota }],
+            may_cancel: true,
+            max_attempts: 3,
+            max_retry_after: 2.0,
+            ..Settings::default()
+        };
+        let address = Some(SocketAddr::from(([127, 0, 0, 1], 9)));
+        let member = Member {
+            worker: WorkerId(7),
+            kind: 0,
+            zone: 0,
+            cell: 0,
+            since: 0.0,
+            state: WorkerState::Serving,
+        };
+        let (sender, commands) = mpsc::unbounded_channel();
+        let (handle, inputs) = Handle::queue();
+        let engine = Engine::new(settings, 1, vec![Listed { member, address }], Clock::start(), sender);
+        tokio::task::spawn_local(engine.run(inputs));
+        Bench { handle, commands }
+    }
+
+    fn submit(&self, patience: u64) -> Ticket {
+        let request = Request {
+            id: RequestId(0),
+            class: 0,
+            tenant: 0,
+            slots: 1.0,
+            memory: 0.0,
+            patience: 0.0,
+            expected: None,
+            key: None,
+        };
+        self.handle.submit(Job { request, patience, payload: Payload::default() })
+    }
+
+    /// The next attempt that is wanted.
+    async fn attempt(&mut self) -> (RequestId, u32) {
+        loop {
+            match self.commands.recv().await.expect("a command") {
+                Command::Attempt { request, attempt, .. } => return (request, attempt),
+                Command::Cancel(..) | Command::CloseIdle(_) | Command::List(..) => {}
+            }
+        }
+    }
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+const HOUR: u64 = 3_600_000_000;
+
+/// Guards against answers held back until near the deadline: with an hour to go, what the throttle declines is
+/// answered at once, and the client is told when to come back.
+#[test]
+fn what_the_module_declines_is_answered_at_once() {
+    run(async {
+        let bench = Bench::start(5.0);
+        let mut tickets: Vec<Ticket> = (0..200).map(|_| bench.submit(HOUR)).collect();
+        let mut refused = 0;
+        for ticket in tickets.iter_mut().rev().take(150) {
+            match ticket.answer().await {
+                Answer::Refused(Some(after)) if after > 0.0 && after <= 2.0 => refused += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+        assert_eq!(refused, 150);
+    });
+}
+
+/// Guards against an attempt that ends twice or a request that is answered twice: a late end, a late start and
+/// the client's leaving after the answer change nothing.
+#[test]
+fn an_attempt_ends_once_and_a_request_is_answered_once() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        let mut ticket = bench.submit(HOUR);
+        let (request, attempt) = bench.attempt().await;
+        for result in ["first", "second"] {
+            bench.handle.tell(Input::Ended(request, attempt, Outcome::Ok, Bytes::from(result)));
+        }
+        bench.handle.tell(Input::Ended(request, attempt, Outcome::Reset, Bytes::new()));
+        bench.handle.tell(Input::Started(request, attempt));
+        bench.handle.tell(Input::Ended(request, 17, Outcome::Ok, Bytes::new()));
+        bench.handle.tell(Input::Gone(request));
+        assert_eq!(ticket.answer().await, Answer::Served(Bytes::from("first")));
+        // It goes on.
+        let mut next = bench.submit(HOUR);
+        let (request, attempt) = bench.attempt().await;
+        bench.handle.tell(Input::Ended(request, attempt, Outcome::Ok, Bytes::from("next")));
+        assert_eq!(next.answer().await, Answer::Served(Bytes::from("next")));
+    });
+}
+
+/// Guards against an attempt that outlives its client's deadline, and against a request without an answer there.
+#[test]
+fn the_deadline_ends_the_attempt_and_answers() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        let mut ticket = bench.submit(50_000);
+        let (request, attempt) = bench.attempt().await;
+        assert!(matches!(ticket.answer().await, Answer::Refused(_)), "safe to repeat: refused");
+        let cancelled = bench.commands.recv().await;
+        assert!(
+            matches!(cancelled, Some(Command::Cancel(r, a)) if (r, a) == (request, attempt)),
+            "{cancelled:?}"
+        );
+    });
+}
+
+/// Guards against work for a client that has left.
+#[test]
+fn a_dropped_ticket_cancels_its_attempt() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        let ticket = bench.submit(HOUR);
+        let (request, attempt) = bench.attempt().await;
+        drop(ticket);
+        let cancelled = bench.commands.recv().await;
+        assert!(
+            matches!(cancelled, Some(Command::Cancel(r, a)) if (r, a) == (request, attempt)),
+            "{cancelled:?}"
+        );
+    });
+}
+
+/// Guards against requests that are left open when the program ends: one that may run is failed, not refused,
+/// and what comes after is refused.
+#[test]
+fn the_end_answers_what_is_open() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        let mut open = bench.submit(HOUR);
+        bench.attempt().await;
+        bench.handle.tell(Input::Finish);
+        assert_eq!(open.answer().await, Answer::Failed);
+        assert_eq!(bench.submit(HOUR).answer().await, Answer::Refused(None));
+    });
+}
+
+/// Guards against taking what may have run for what never did: only a request whose last byte was not written is
+/// known not to have run.
+#[test]
+fn a_broken_connection_means_what_was_written_on_it() {
+    let outcomes =
+        [Reach::Unconnected, Reach::PartWritten, Reach::Written, Reach::Started].map(Reach::broken);
+    assert_eq!(outcomes, [Outcome::ConnectFailed, Outcome::ConnectFailed, Outcome::Reset, Outcome::Reset]);
+    assert_eq!(outcomes.map(Outcome::never_ran), [true, true, false, false]);
+}
+
+/// A list that discovery sends bars workers for the sockets before the module hears of it, and names all.
+#[test]
+fn the_list_reaches_the_sockets_first() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        assert!(
+            matches!(bench.commands.recv().await, Some(Command::List(Scope::Saved, all)) if all.len() == 1)
+        );
+        bench.handle.tell(Input::List(Scope::Full, Vec::new()));
+        assert!(
+            matches!(bench.commands.recv().await, Some(Command::List(Scope::Full, all)) if all.is_empty())
+        );
+        assert!(matches!(bench.submit(HOUR).answer().await, Answer::Refused(Some(_))));
+    });
+}
