--- a/src/main.rs
+++ b/src/main.rs
@@ -98,8 +98,7 @@
         // Caught first: a signal that comes while the rest starts must not kill.
         let phase = signal::phases(config.longest)?;
         let listener = tokio::net::TcpListener::bind(config.listen).await?;
-        net::serve(config, listener, phase).await;
-        Ok::<(), std::io::Error>(())
+        net::serve(config, listener, phase).await
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     match runtime.and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run)) {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,14 +1,16 @@
 //! Clients: their connections, their requests as jobs, and the answers.
 
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::http::{reason, text, Decoder, Framing, Head, Malformed, Piece, Start, MAX_BODY};
 use super::signal::Phase;
@@ -29,7 +31,9 @@
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 4 * MAX_BODY;
 /// More than this is not read ahead of an answer.
-const READ_AHEAD: usize = 2 * MAX_BODY;
+const READ_AHEAD: usize = 16 * 1024;
+/// A connection on which nothing was asked yet has this long for it before it is closed as idle.
+const FIRST_REQUEST: Duration = Duration::from_millis(400);
 /// While the program ends: no connection for this long, and the listener is closed.
 const LAST_CALL: Duration = Duration::from_millis(150);
 /// After an accept that failed.
@@ -83,6 +87,8 @@
             }
         };
         tokio::select! {
+            biased;
+            // First, so that what has ended is not counted against what comes.
             Some(done) = tasks.join_next() => {
                 if done.is_err() {
                     log::line("a connection's task panicked; its connection is closed");
@@ -120,9 +126,9 @@
 
 /// Why a conversation ends.
 enum End {
-    /// In good order.
+    /// In good order, after an answer.
     Close,
-    /// There is nobody to talk to any more.
+    /// Between requests, or there is nobody to talk to any more: nothing more is read.
     Lost,
     /// After an answer to what cannot be understood.
     Reject(Rejected),
@@ -141,11 +147,13 @@
     shared: Rc<Shared>,
     /// It came when there were too many.
     surplus: bool,
+    /// Nothing was asked on it yet.
+    fresh: bool,
 }
 
 impl Connection {
     async fn serve(stream: TcpStream, shared: Rc<Shared>, surplus: bool) {
-        let mut connection = Connection { stream, buf: BytesMut::new(), shared, surplus };
+        let mut connection = Connection { stream, buf: BytesMut::new(), shared, surplus, fresh: true };
         let end = loop {
             match connection.exchange().await {
                 Ok(true) => {}
@@ -182,7 +190,8 @@
 
     /// One request and its answer; true where the connection stays open for another.
     async fn exchange(&mut self) -> Result<bool, End> {
-        let Some(head) = self.head().await? else { return Ok(false) };
+        let head = self.head().await?;
+        self.fresh = false;
         let Start::Request(method, target) = &head.start else { return Err(End::Lost) };
         let job = self.job(&head, method, target);
         let body = match timeout(PATIENCE, self.body(&head)).await {
@@ -217,30 +226,41 @@
         Ok(keep)
     }
 
-    /// The next head; none where the connection ends between requests.
-    async fn head(&mut self) -> Result<Option<Head>, End> {
+    /// The next head.
+    async fn head(&mut self) -> Result<Head, End> {
+        let mut begun = None;
         loop {
             if let Some(head) = Head::request(&mut self.buf)? {
-                return Ok(Some(head));
+                return Ok(head);
             }
-            let idle = self.buf.is_empty();
+            let (idle, fresh) = (self.buf.is_empty(), self.fresh);
+            // From the first byte on, however slowly the others come.
+            let late = *begun.get_or_insert_with(Instant::now) + PATIENCE;
             let (mut phase, mut crowded) = (self.shared.phase.clone(), self.shared.crowded.subscribe());
             let dismissed = async {
                 tokio::select! {
                     _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
                     _ = crowded.wait_for(|c| *c) => {}
                 }
+                if fresh {
+                    // Its first request may be on the way, and would be lost: no client sends that again.
+                    sleep(FIRST_REQUEST).await;
+                }
             };
             let surplus = self.surplus;
             tokio::select! {
                 biased;
                 read = read_more(&mut self.stream, &mut self.buf) => match read {
+                    Ok(true) if idle => begun = None,
                     Ok(true) => {}
-                    Ok(false) if idle => return Ok(None),
                     _ => return Err(End::Lost),
                 },
-                () = dismissed, if idle && !surplus => return Ok(None),
-                () = sleep(PATIENCE), if !idle || surplus => {
+                // Closed at once and without reading on: a client whose request crosses this sends it again.
+                () = dismissed, if idle && !surplus => match waiting(&self.stream) {
+                    true => tokio::task::yield_now().await,
+                    false => return Err(End::Lost),
+                },
+                () = sleep_until(late), if !idle || surplus => {
                     return Err(End::Reject(Rejected(408, "the request did not come in time")));
                 }
             }
@@ -329,7 +349,7 @@
         let (path, query) = target_text.split_once('?').unwrap_or((target_text, ""));
         if path == "/healthz" {
             return match &method[..] {
-                b"GET" | b"HEAD" => Ok(None),
+                b"GET" => Ok(None),
                 _ => Err(Rejected(405, "ask for this with GET")),
             };
         }
@@ -389,6 +409,12 @@
     }
 }
 
+/// Bytes wait to be read. It asks the socket itself: what the runtime knows of it may be older.
+fn waiting(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_ok_and(|count| count > 0)
+}
+
 fn pair(text: &str) -> Option<(&str, &str)> {
     text.split_once('=').map(|(name, value)| (name.trim(), value.trim()))
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! Follows discovery: a watch that is opened again from the last revision whenever it ends or falls silent.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::http::{Decoder, Head, Lines, Piece, Start};
@@ -26,25 +28,27 @@
 
 /// Watches for ever. `ready` turns true with the first list.
 pub async fn follow(config: Rc<Config>, handle: Handle, ready: watch::Sender<bool>) {
-    let mut revision = config.known.0;
+    let revision = Rc::new(Cell::new(config.known.0));
     let mut failing = false;
     loop {
-        let before = revision;
-        let end = watch_once(&config, &handle, &ready, &mut revision).await;
-        if revision == before && !failing {
+        let before = revision.get();
+        // A task of its own: a panic ends this watch, not the following.
+        let watch = watch_once(config.clone(), handle.clone(), ready.clone(), revision.clone());
+        let end = spawn_local(watch).await.unwrap_or_else(|error| error.to_string());
+        if revision.get() == before && !failing {
             log::line(&format!("discovery: {end}"));
         }
-        failing = revision == before;
+        failing = revision.get() == before;
         tokio::time::sleep(PAUSE).await;
     }
 }
 
 /// One watch, to its end.
 async fn watch_once(
-    config: &Config,
-    handle: &Handle,
-    ready: &watch::Sender<bool>,
-    revision: &mut u64,
+    config: Rc<Config>,
+    handle: Handle,
+    ready: watch::Sender<bool>,
+    revision: Rc<Cell<u64>>,
 ) -> String {
     let mut stream = match timeout(DIAL_TIMEOUT, TcpStream::connect(config.discovery)).await {
         Ok(Ok(stream)) => stream,
@@ -52,8 +56,8 @@
         Err(_) => return "no connection in time".to_owned(),
     };
     let _ = stream.set_nodelay(true);
-    let request =
-        format!("GET /v1/servers?stream=1&index={revision} HTTP/1.1\r\nHost: {}\r\n\r\n", config.discovery);
+    let (from, host) = (revision.get(), config.discovery);
+    let request = format!("GET /v1/servers?stream=1&index={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
     if let Err(error) = write_whole(&mut stream, &mut Bytes::from(request)).await {
         return format!("cannot ask: {error}");
     }
@@ -79,9 +83,9 @@
                     return error.to_string();
                 }
                 while let Some(line) = lines.next_line() {
-                    if let Err(error) = take_line(&line, config, handle, revision) {
+                    if let Err(error) = take_line(&line, &config, &handle, &revision) {
                         // The state is unknown from here on: ask for all of it.
-                        *revision = 0;
+                        revision.set(0);
                         return error;
                     }
                     ready.send_replace(true);
@@ -100,13 +104,13 @@
 }
 
 /// Takes one line; an empty one says that nothing changed.
-fn take_line(line: &Bytes, config: &Config, handle: &Handle, revision: &mut u64) -> Result<(), String> {
+fn take_line(line: &Bytes, config: &Config, handle: &Handle, revision: &Cell<u64>) -> Result<(), String> {
     if line.trim_ascii().is_empty() {
         return Ok(());
     }
     let value: Value = serde_json::from_slice(line).map_err(|error| error.to_string())?;
     let list = config::list(&value, &config.names).map_err(|error| error.to_string())?;
-    *revision = list.revision;
+    revision.set(list.revision);
     handle.tell(Input::List(list.scope, list.members));
     Ok(())
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -36,8 +36,12 @@
 /// Runs a dispatcher until it is told to end and all is answered. Belongs on a [`tokio::task::LocalSet`].
 ///
 /// # Errors
-/// It cannot listen on its address.
-pub async fn serve(config: Config, listener: tokio::net::TcpListener, phase: watch::Receiver<signal::Phase>) {
+/// A task that it cannot do without has ended.
+pub async fn serve(
+    config: Config,
+    listener: tokio::net::TcpListener,
+    phase: watch::Receiver<signal::Phase>,
+) -> std::io::Result<()> {
     let clock = Clock::start();
     let (handle, inputs) = Handle::queue();
     let (commands, orders) = mpsc::unbounded_channel();
@@ -48,9 +52,15 @@
         dial_timeout: config.dial_timeout,
         idle: config.idle,
     };
-    spawn_local(worker::run(limits, clock, handle.clone(), orders));
-    spawn_local(engine.run(inputs));
+    let mut pool = spawn_local(worker::run(limits, clock, handle.clone(), orders));
+    let mut engine = spawn_local(engine.run(inputs));
     let (ready, is_ready) = watch::channel(false);
-    spawn_local(discovery::follow(config.clone(), handle.clone(), ready));
-    client::accept(config, listener, handle, phase, is_ready).await;
+    let mut follow = spawn_local(discovery::follow(config.clone(), handle.clone(), ready));
+    // None of the three ends while clients are served: without any of them the program must not go on as if.
+    tokio::select! {
+        () = client::accept(config, listener, handle, phase, is_ready) => Ok(()),
+        _ = &mut pool => Err(std::io::Error::other("the task that reaches workers ended")),
+        _ = &mut engine => Err(std::io::Error::other("the task that owns the module ended")),
+        _ = &mut follow => Err(std::io::Error::other("the task that follows discovery ended")),
+    }
 }
--- a/src/net/worker.rs
+++ b/src/net/worker.rs
@@ -15,15 +15,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{interval, timeout};
+use tokio::time::{interval, timeout, timeout_at, Instant};
 
 use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
 use super::{read_more, write_whole};
 use crate::api::{Outcome, RequestId, Scope, WorkerId};
 use crate::engine::{Clock, Command, Handle, Input, Micros, Payload, Reach};
 
-/// A line of a worker may be this long: a result as large as a body, with each byte escaped.
-const LONGEST_LINE: usize = 6 * MAX_BODY + 1024;
+/// A line of a worker may be this long: a result as large as a body, with room for escapes.
+const LONGEST_LINE: usize = 2 * MAX_BODY + 1024;
 /// After the last line of an answer its framing ends soon, or the connection is not used again.
 const TAIL: Duration = Duration::from_millis(200);
 /// How often idle connections are looked through.
@@ -250,6 +250,8 @@
     let pool = end.pool.clone();
     let (mut stream, counted) = match pool.reuse(&peer) {
         Some(kept) => kept,
+        // Without a descriptor to spare nothing is sent, which is no fault of the worker's.
+        None if !pool.make_room() => return end.tell(Outcome::Moot, Bytes::new()),
         None => match dial(&pool, &peer).await {
             Some(new) => new,
             None => return,
@@ -260,7 +262,7 @@
     if !peer.serves.get() {
         return;
     }
-    let head = request_head(&payload, deadline.saturating_sub(pool.clock.now()));
+    let head = request_head(&peer, &payload, deadline.saturating_sub(pool.clock.now()));
     let mut message = head.chain(payload.body.clone());
     end.reach = Reach::PartWritten;
     let written = write_whole(&mut stream, &mut message).await;
@@ -277,9 +279,6 @@
 
 async fn dial(pool: &Rc<Pool>, peer: &Peer) -> Option<(TcpStream, Counted)> {
     let address = peer.address.get()?;
-    if !pool.make_room() {
-        return None;
-    }
     let counted = Counted::new(pool);
     let stream = timeout(Duration::from_micros(pool.limits.dial_timeout), TcpStream::connect(address)).await;
     let stream = stream.ok()?.ok()?;
@@ -287,10 +286,11 @@
     Some((stream, counted))
 }
 
-fn request_head(payload: &Payload, patience: Micros) -> Bytes {
+fn request_head(peer: &Peer, payload: &Payload, patience: Micros) -> Bytes {
     let mut head = BytesMut::with_capacity(256 + payload.target.len());
+    let host = peer.address.get().map_or_else(String::new, |address| address.to_string());
     let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
-    put(&[&payload.method, b" ", &payload.target, b" HTTP/1.1\r\nHost: backend.local\r\n"]);
+    put(&[&payload.method, b" ", &payload.target, b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n"]);
     put(&[b"Request-Id: ", &payload.id, b"\r\n"]);
     if let Some(key) = &payload.idempotency_key {
         put(&[b"Idempotency-Key: ", key, b"\r\n"]);
@@ -348,6 +348,7 @@
     }
     let mut body = Decoder::new(head.framing);
     let mut lines = Lines::default();
+    let mut tail = None;
     loop {
         match body.next(&mut buf).ok()? {
             Piece::Data(_) if end.told => {}
@@ -363,7 +364,8 @@
             }
             Piece::More if end.told => {
                 // All is known; the framing may still end in time for the connection to be of use.
-                if !timeout(TAIL, read_more(stream, &mut buf)).await.ok()?.ok()? {
+                let until = *tail.get_or_insert_with(|| Instant::now() + TAIL);
+                if !timeout_at(until, read_more(stream, &mut buf)).await.ok()?.ok()? {
                     return None;
                 }
             }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -14,6 +14,7 @@
 //! | `PARTY close [sending]` | close the connection, or one direction of it |
 //! | `wait MS` | let time pass |
 //! | `program send TERM`, `program expect` | the signal; the program's end |
+//! | `program send CLOSING` | the phase in which idle connections are closed, at once |
 //! | `listener N close`, `jam`, `free` | worker N refuses connections; lets none come up; lets them again |
 //!
 //! `client...` connects at its first step; `worker...` is the next connection that any worker gets and
@@ -70,7 +71,7 @@
     jam: Vec<socket2::Socket>,
     jammed: Option<TcpStream>,
     phase: watch::Sender<signal::Phase>,
-    program: JoinHandle<()>,
+    program: JoinHandle<std::io::Result<()>>,
     longest: u64,
     transcript: String,
 }
@@ -159,7 +160,8 @@
                 let (phase, longest) = (self.phase.clone(), self.longest);
                 spawn_local(async move { signal::leave(&phase, longest).await });
             }
-            ["program", "expect"] => (&mut self.program).await.expect("an orderly end"),
+            ["program", "send", "CLOSING"] => drop(self.phase.send_replace(signal::Phase::Closing)),
+            ["program", "expect"] => (&mut self.program).await.expect("no panic").expect("an orderly end"),
             ["listener", n, "close"] => {
                 let task = &mut self.listeners[n.parse::<usize>().expect("a number") - 1].0;
                 task.abort();
