--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -26,6 +26,8 @@
 const CROWDED: usize = 90;
 /// A client that has begun a request sends the rest of it within this, and reads its answer within it.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// The same for the head of a request while there are too many connections.
+const CROWDED_PATIENCE: Duration = Duration::from_secs(1);
 /// How long bytes that nobody wants are read after the last answer, and how many: a connection closed over
 /// unread bytes is reset, and the answer lost.
 const LINGER: Duration = Duration::from_millis(500);
@@ -235,7 +237,8 @@
             }
             let (idle, fresh) = (self.buf.is_empty(), self.fresh);
             // From the first byte on, however slowly the others come.
-            let late = *begun.get_or_insert_with(Instant::now) + PATIENCE;
+            let begun_at = *begun.get_or_insert_with(Instant::now);
+            let late = begun_at + PATIENCE;
             let (mut phase, mut crowded) = (self.shared.phase.clone(), self.shared.crowded.subscribe());
             let dismissed = async {
                 tokio::select! {
@@ -247,6 +250,12 @@
                     sleep(FIRST_REQUEST).await;
                 }
             };
+            // A head that stops half-way holds a descriptor that others need.
+            let mut still_crowded = self.shared.crowded.subscribe();
+            let squeezed = async {
+                let _ = still_crowded.wait_for(|c| *c).await;
+                sleep_until(begun_at + CROWDED_PATIENCE).await;
+            };
             let surplus = self.surplus;
             tokio::select! {
                 biased;
@@ -260,7 +269,9 @@
                     true => tokio::task::yield_now().await,
                     false => return Err(End::Lost),
                 },
-                () = sleep_until(late), if !idle || surplus => {
+                () = async { tokio::select! { () = sleep_until(late) => {} () = squeezed => {} } },
+                    if !idle || surplus =>
+                {
                     return Err(End::Reject(Rejected(408, "the request did not come in time")));
                 }
             }
--- a/src/net/worker.rs
+++ b/src/net/worker.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{interval, timeout, timeout_at, Instant};
+use tokio::time::{interval_at, timeout, timeout_at, Instant};
 
 use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
 use super::{read_more, write_whole};
@@ -107,7 +107,7 @@
         out: RefCell::default(),
         open: Cell::new(0),
     });
-    let mut sweep = interval(SWEEP);
+    let mut sweep = interval_at(Instant::now() + SWEEP, SWEEP);
     loop {
         tokio::select! {
             biased;
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -13,6 +13,7 @@
 //! | `PARTY expect close` | the end of the connection, with nothing before it |
 //! | `PARTY close [sending]` | close the connection, or one direction of it |
 //! | `wait MS` | let time pass |
+//! | `limit S` | each step from here on is done within so many seconds, or the scenario fails |
 //! | `program send TERM`, `program expect` | the signal; the program's end |
 //! | `program send CLOSING` | the phase in which idle connections are closed, at once |
 //! | `listener N close`, `jam`, `free` | worker N refuses connections; lets none come up; lets them again |
@@ -45,8 +46,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let mut stage = Stage::set(script).await;
+        let mut limit = LIMIT;
         for step in script.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
-            match timeout(LIMIT, stage.step(step)).await {
+            if let Some(seconds) = step.strip_prefix("limit ") {
+                limit = Duration::from_secs(seconds.parse().expect("seconds"));
+                continue;
+            }
+            match timeout(limit, stage.step(step)).await {
                 Ok(()) => {}
                 Err(_) => panic!("nothing came at '{step}'; so far:\n{}", stage.transcript),
             }
