Use idle worker connections for 0.8 of keepalive-s again

Checked and ruled out: requests written to closed connections (0 in both), lateness of the program (the same). The line: KEEPALIVE_USED in config.rs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -24,7 +24,7 @@
 const KEEPALIVE: f64 = 5.0;
 /// An idle connection is used for this part of the time after which a worker may close it: the clocks of both
 /// sides differ, and a request that crosses the close would be lost.
-const KEEPALIVE_USED: f64 = 0.9;
+const KEEPALIVE_USED: f64 = 0.8;
 /// A client's patience in seconds where neither it nor the class tells.
 const PATIENCE: f64 = 10.0;
 
