Split the program into packages by concern, and log through tracing

Cause: the lab and the pure modules to come need the decisions as a package of their own, without tokio and sockets, and operators need levels and structured lines.

Logging stands on tracing, tracing-subscriber and tracing-appender; the bound of 20 lines a second is taken before a line is formatted.

--- a/src/api.rs
+++ b/crates/cairncrank-core/src/api.rs
@@ -158,6 +158,13 @@
     }
 }
 
+impl Settings {
+    /// What all tenants were promised together, in requests a second.
+    pub fn promised(&self) -> f64 {
+        self.tenants.iter().map(|t| t.quota.max(0.0)).sum()
+    }
+}
+
 /// A job as it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
--- /dev/null
+++ b/crates/cairncrank-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! The decisions of a dispatcher, and nothing else: no clock, no I/O, no sockets, no tasks.
+//!
+//! [`Dispatcher`] is the decision module: it decides which worker gets a job, whether to retry and what is turned
+//! away. It is told of [`Event`]s and answers with [`Action`]s; `api` holds both. Whoever drives it (the engine of
+//! the real program, the simulator's adapter, the lab) brings the clock and carries the actions out.
+
+pub mod api;
+mod estimate;
+pub mod policy;
+pub mod settings;
+mod state;
+
+pub use api::{Action, Event, Settings};
+pub use policy::Dispatcher;
--- /dev/null
+++ b/crates/cairncrank-core/src/policy/attempts.rs
@@ -0,0 +1,224 @@
+//! 5. **Attempts.** What never ran is pushed again; what may have run only as its class allows.
+
+use super::*;
+
+/// After so many tries a job goes on only to a worker that is thought free: the rest bounces as well.
+const BLIND_TRIES: usize = 2;
+/// A job that waits at a worker for more than this part of the time it has counts as bounced.
+const WAITED: f64 = 0.5;
+/// A worker that turned a job away holds about this many times its slots.
+const FULL_AT: f64 = 1.5;
+/// A job that starts within this much of its push did not wait: a round trip and a handshake.
+const PROMPT: Seconds = 0.02;
+/// A keyed job is sent again within this part of its window: the clocks of worker and dispatcher may differ.
+const KEYED_WINDOW: f64 = 0.9;
+
+impl Dispatcher {
+    /// Whether a keyed job that may have run may go to this worker.
+    pub(super) fn group_allows(&self, w: &Worker, job: &Job) -> bool {
+        let class = &self.cfg.classes[job.req.class as usize];
+        let Repeat::Keyed(group) = class.repeat else { return true };
+        job.attempts.iter().filter(|a| !a.ended.is_some_and(Outcome::never_ran)).all(|a| {
+            let first = &self.fleet.workers[a.worker];
+            self.now - a.sent < class.window * KEYED_WINDOW
+                && match group {
+                    Group::All => true,
+                    Group::Zone => w.zone == first.zone,
+                    Group::Cell => w.cell == first.cell,
+                }
+        })
+    }
+
+    /// Pushes what is paid. While no worker is known free a job waits here, for a part of the time it has;
+    /// an ending or a report may free one. Where loads are not reported, nothing is known and nothing waits.
+    pub(super) fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        for _ in 0..self.paid.len() {
+            let Some(id) = self.paid.pop_front() else { return };
+            let Some(job) = self.jobs.remove(&id) else { continue };
+            let tries_left = job.attempts.len() < self.cfg.max_attempts.max(1) as usize;
+            let choice = if tries_left { self.choose(&job) } else { None };
+            let told = self.cfg.reports != Reports::None;
+            let early = self.now + 1e-6 < job.give_way(GATE);
+            let waits = told && early && tries_left && choice.is_none_or(|(_, free)| !free);
+            let tried = job.attempts.len();
+            self.jobs.insert(id, job);
+            match choice {
+                _ if waits => self.paid.push_back(id),
+                Some((i, free)) if free || !told || tried < BLIND_TRIES => self.push(id, i, free, actions),
+                _ => self.end_unserved(id, actions),
+            }
+        }
+    }
+
+    pub(super) fn push(&mut self, id: RequestId, i: usize, free: bool, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let (k, work) = (job.size(), job.work());
+        job.state = State::Out;
+        job.attempts.push(Attempt { worker: i, sent: self.now, started: None, free, ended: None });
+        self.hold(i, k);
+        let (slice, w) = (self.slice(), &mut self.fleet.workers[i]);
+        w.out += 1;
+        if w.slice != slice {
+            (w.slice, w.spent) = (slice, 0.0);
+        }
+        w.spent += work;
+        self.copies = (self.copies + COPIES).min(COPIES_SAVED);
+        if self.cfg.tells_start {
+            self.wake(QUIET, Wake::Quiet(id));
+        }
+        let w = &self.fleet.workers[i];
+        actions.push(Action::Send { request: id, worker: w.id, timeout: None });
+    }
+
+    /// Ends a request that no attempt can serve any more.
+    pub(super) fn end_unserved(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.state = State::Ended;
+        let class = &self.cfg.classes[job.req.class as usize];
+        let harmless = matches!(class.repeat, Repeat::Safe | Repeat::Keyed(Group::All));
+        let wait = job.slots as f64 / self.rate.slots_per_s.max(1e-3);
+        actions.push(if job.never_ran() || harmless {
+            self.refusal(id, wait)
+        } else {
+            Action::Fail { request: id }
+        });
+        self.forget(id);
+    }
+
+    /// Drops a request that has ended once all its attempts have.
+    fn forget(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get(&id) {
+            if job.state == State::Ended && !job.is_out() {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+
+    pub(super) fn on_started(&mut self, id: RequestId, attempt: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let a = job.attempts.get_mut(attempt as usize);
+        if let Some(a) = a.filter(|a| a.started.is_none() && a.ended.is_none()) {
+            a.started = Some(self.now);
+            let (i, delay) = (a.worker, self.now - a.sent);
+            self.sign(i);
+            self.waits += LEARN_WORKER * (delay - self.waits);
+            if self.cfg.reports != Reports::Answers {
+                // The wait tells how much others had there: each slot comes free once in a running time.
+                let w = &self.fleet.workers[i];
+                let (slots, waited) = (self.slots_of(w), delay - self.cfg.resolution - PROMPT);
+                let rest = (slots - w.ours).max(0.0);
+                let queued = rest + slots * waited / self.window();
+                self.heard(i, if waited > 0.0 { queued } else { self.others(w).min(rest) });
+            }
+        }
+    }
+
+    pub(super) fn on_ended(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        complete: bool,
+        load: Option<Load>,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(a) = job.attempts.get_mut(attempt as usize).filter(|a| a.ended.is_none()) else { return };
+        a.ended = Some(outcome);
+        let (i, a, k, class) = (a.worker, *a, job.size(), job.req.class as usize);
+        let (expected, tenant) = (job.req.expected, job.req.tenant as usize);
+        let ended = |a: &Attempt| matches!(a.ended, Some(Outcome::Reset | Outcome::Error));
+        let failed_before = job.attempts[..attempt as usize].iter().any(ended);
+        let already = job.state == State::Ended;
+        let expired = now - job.arrived >= job.req.patience - self.cfg.resolution;
+        self.hold(i, -k);
+        self.fleet.workers[i].out = self.fleet.workers[i].out.saturating_sub(1);
+        if outcome != Outcome::Full {
+            self.report(i, load);
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error | Outcome::Rejected) {
+            self.sign(i);
+        }
+        match outcome {
+            Outcome::Ok => {
+                // Without word of the start, the run is known only where the worker was free.
+                let clear = a.started.is_some() || a.free;
+                let run = now - a.started.unwrap_or(a.sent);
+                // A long wait there is congestion; a long run is the job's or the worker's own matter.
+                let likely = self.runs[class].mean * self.cfg.classes[class].stretch.max(1.0);
+                let waited = now - a.sent - if a.started.is_some() { run } else { run.min(likely) };
+                if waited <= WAITED * self.slack(class, expected) {
+                    self.rate.taken += k;
+                } else {
+                    self.rate.bounce(i, k);
+                }
+                self.worked(i);
+                if clear {
+                    let w = &mut self.fleet.workers[i];
+                    self.runs[class].learn(run, &mut self.kinds[w.kind].pace, &mut w.pace);
+                }
+            }
+            Outcome::Full => {
+                if attempt > 0 {
+                    self.rate.bounce(i, k);
+                }
+                let w = &self.fleet.workers[i];
+                // Its report is older than this answer, and says less.
+                self.heard(i, FULL_AT * self.slots_of(w) - w.ours);
+            }
+            Outcome::Timeout => {
+                self.rate.bounce(i, k);
+                if a.started.is_none() {
+                    self.failed(i);
+                }
+            }
+            Outcome::ConnectFailed => self.failed(i),
+            // What fails at one worker after another is at fault itself, and must not bar them all.
+            Outcome::Reset | Outcome::Error if failed_before => {}
+            Outcome::Reset | Outcome::Error => self.failed(i),
+            Outcome::Rejected => {
+                // It was no job: what it took of its tenant's part is given back.
+                let slots = k.ceil() as i64;
+                self.banks[tenant].refund(slots);
+            }
+            Outcome::Cancelled | Outcome::Moot | Outcome::Stale => {}
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if complete || already {
+            // The copy that lost.
+            actions.extend(job.cancels().filter(|_| self.cfg.may_cancel && !already));
+            job.state = State::Ended;
+            self.forget(id);
+            return self.dispatch(actions);
+        }
+        if job.is_out() {
+            return;
+        }
+        if outcome == Outcome::Rejected {
+            job.state = State::Ended;
+            actions.push(Action::Fail { request: id });
+            return self.forget(id);
+        }
+        let again = job.never_ran() || self.cfg.classes[class].repeat != Repeat::Unsafe;
+        if again && !expired && job.until > now {
+            self.pay(id, actions);
+        } else {
+            self.end_unserved(id, actions);
+        }
+    }
+
+    pub(super) fn on_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        match job.state {
+            State::Held => self.banks[job.req.tenant as usize].give_back(id, job.slots),
+            State::Paid => self.paid.retain(|&p| p != id),
+            State::Out if self.cfg.may_cancel => actions.extend(job.cancels()),
+            _ => {}
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.state = State::Ended;
+        }
+        self.forget(id);
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-core/src/policy/list.rs
@@ -0,0 +1,45 @@
+//! 6. **List.** Follows the worker list, which may be late, silent or out of reach.
+
+use super::*;
+
+/// The list is asked for again after this at the least, and at the most where nothing is stated.
+const RETRY: (Seconds, Seconds) = (0.2, 2.0);
+
+impl Dispatcher {
+    pub(super) fn ask(&mut self, actions: &mut Vec<Action>) {
+        self.list.waiting = true;
+        actions.push(Action::Watch(true));
+    }
+
+    pub(super) fn on_list(&mut self, scope: Scope, members: &[Member]) {
+        match scope {
+            Scope::Failed => {
+                (self.list.waiting, self.list.watching) = (false, false);
+                let longest = if self.cfg.ask_within > 0.0 { self.cfg.ask_within / 4.0 } else { RETRY.1 };
+                self.list.retry = (self.list.retry * 2.0).clamp(RETRY.0.min(longest), longest);
+                let after = self.list.retry * (0.5 + self.rng.f64());
+                self.wake(after, Wake::List);
+                return;
+            }
+            Scope::Saved => {}
+            Scope::Full | Scope::Changes => {
+                (self.list.waiting, self.list.watching, self.list.retry) = (false, true, 0.0)
+            }
+        }
+        if scope != Scope::Changes {
+            let mut named: Vec<WorkerId> = members.iter().map(|m| m.worker).collect();
+            named.sort_unstable();
+            for w in &mut self.fleet.workers {
+                if named.binary_search(&w.id).is_err() {
+                    w.state = WorkerState::Gone;
+                }
+            }
+        }
+        for m in members {
+            let kind = (m.kind as usize).min(MAX_KIND);
+            self.kinds.resize(self.kinds.len().max(kind + 1), Kind::default());
+            self.fleet.enlist(m, kind, self.now);
+        }
+        self.fleet.rebuild(self.cfg.zone);
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-core/src/policy/workers.rs
@@ -0,0 +1,209 @@
+//! 3. **Workers.** A paid job goes to a worker that is known free, else to one that holds few of ours;
+//!    sampled, own zone first, quick workers first, and those that may still hold its data.
+
+use super::*;
+
+/// What is heard of a worker's load fades over this many windows.
+const FADE: f64 = 4.0;
+/// A wait costs this many times a run of its length: what starts late is late. And how much an emptier worker
+/// is preferred among those that seem free: what is known is late too.
+const WAIT_COSTS: f64 = 4.0;
+const DOUBT: f64 = 0.3;
+/// A report is late by about this part of a window.
+const REPORT_LATE: f64 = 0.5;
+/// Where probes may be sent, what is known of a worker is news for this part of a window.
+const FRESH: f64 = 0.25;
+/// Workers asked for one job that waits, and what their probes may cost, in parts of the service.
+const LOOKS: f64 = 3.0;
+const LOOKS_COST: f64 = 0.01;
+/// Workers on the ring that a key may go to, and the further ones it uses for each worker that it could fill.
+const KEY_HOMES: usize = 3;
+const KEY_SPREAD: f64 = 0.3;
+/// The price of crossing zones, which is in parts of the service, as running time: what is late is lost.
+const CROSSING: f64 = 5.0;
+
+impl Dispatcher {
+    pub(super) fn slots_of(&self, w: &Worker) -> f64 {
+        self.kinds[w.kind].slots.max(self.largest as f64)
+    }
+
+    /// Its capacity now, as a part of the full one; a lower bound.
+    pub(super) fn warmth(&self, w: &Worker) -> f64 {
+        if w.since <= 0.0 || self.cfg.warm_within <= 0.0 {
+            return 1.0;
+        }
+        let age = ((self.now - w.since) / self.cfg.warm_within).clamp(0.0, 1.0);
+        self.cfg.cold_share + (1.0 - self.cfg.cold_share) * age
+    }
+
+    /// Slots that others hold there by now: what was last heard, fading into what is usual.
+    pub(super) fn others(&self, w: &Worker) -> f64 {
+        let usual = self.usual * self.slots_of(w);
+        usual + (w.others - usual) * (-(self.now - w.told) / (FADE * self.window())).exp()
+    }
+
+    /// When a job would be done there, in seconds from now, with prices as time; lower is better. Also
+    /// whether it would start at once, as far as is known.
+    fn cost(&self, w: &Worker, job: &Job) -> (f64, bool) {
+        let run = self.runs[job.req.class as usize].log.exp();
+        let pace = (self.kinds[w.kind].pace + w.pace).exp() / self.warmth(w);
+        let slots = self.slots_of(w);
+        let filled = (w.ours + self.others(w) + job.size()) / slots;
+        let crossing = if w.zone == self.cfg.zone { 0.0 } else { CROSSING * self.cfg.cross_zone_price * run };
+        let waits = WAIT_COSTS * (filled - 1.0).max(0.0) + DOUBT * filled.min(2.0).powi(2);
+        let fresh = !self.may_look() || self.now - w.told < FRESH * self.window();
+        (run * pace * (1.0 + waits) + crossing, filled <= 1.0 && fresh)
+    }
+
+    fn usable(&self, i: usize, job: &Job) -> bool {
+        let w = &self.fleet.workers[i];
+        let c = &self.cfg.classes[job.req.class as usize];
+        w.state == WorkerState::Serving
+            && c.kind.is_none_or(|k| k as usize == w.kind)
+            && (!self.ejected(w) || 2 * self.fleet.shut > self.fleet.index.len())
+            && !job.attempts.iter().any(|a| a.worker == i && a.ended != Some(Outcome::Stale))
+            && self.cold_room(w, job)
+            && self.group_allows(w, job)
+    }
+
+    fn ejected(&self, w: &Worker) -> bool {
+        w.ejected_until > self.now || (w.ejected_for > 0.0 && w.out > 0)
+    }
+
+    pub(super) fn consider(&mut self, i: usize, job: &Job, best: &mut Best) {
+        if self.usable(i, job) {
+            let (cost, free) = self.cost(&self.fleet.workers[i], job);
+            let cost = cost * (1.0 + 0.01 * self.rng.f64());
+            if best.is_none_or(|(b, _, _)| cost < b) {
+                *best = Some((cost, i, free));
+            }
+        }
+    }
+
+    /// The best of a sample of workers for the job.
+    pub(super) fn choose(&mut self, job: &Job) -> Option<(usize, bool)> {
+        let mut best: Best = None;
+        let known = |best: &Best| best.is_some_and(|(_, _, free)| free);
+        for n in 0..self.looked.len() {
+            self.consider(self.looked[n], job, &mut best);
+        }
+        if let Some(key) = job.req.key.filter(|_| !known(&best)) {
+            self.consider_homes(key, job, &mut best);
+        }
+        if !known(&best) {
+            self.consider_cold(job, &mut best);
+        }
+        for step in 0..self.fleet.zones.len() {
+            let z = (self.cfg.zone as usize + step) % self.fleet.zones.len();
+            if best.is_none() || (job.req.key.is_none() && !known(&best)) {
+                self.consider_some(z, job, &mut best);
+            }
+        }
+        best.map(|(_, i, free)| (i, free))
+    }
+
+    fn consider_some(&mut self, z: usize, job: &Job, best: &mut Best) {
+        let n = self.fleet.zones[z].len();
+        let offset = self.rng.usize(..n.max(1));
+        let all: usize = self.fleet.zones.iter().map(Vec::len).sum();
+        let looks = (2 * all / self.cfg.instances as usize).clamp(LEAST_SAMPLE, SAMPLE);
+        for j in 0..looks.min(n) {
+            // A stride that spreads the looks walks the zone without repeats.
+            let i = self.fleet.zones[z][(offset + j * n.div_ceil(looks)) % n];
+            self.consider(i, job, best);
+        }
+    }
+
+    /// The homes of a key are the next workers on the ring, the same at every dispatcher; the more of them
+    /// the more the key is asked for, as far as our own traffic tells. The job takes one of them, or where
+    /// that is busy one of those that follow.
+    fn consider_homes(&mut self, key: u64, job: &Job, best: &mut Best) {
+        let asked = self.keys.rate(key, self.now) * f64::from(self.cfg.instances);
+        let busy = asked * self.window() * self.slots / self.largest as f64;
+        let skip = self.rng.usize(..1 + (busy * KEY_SPREAD) as usize);
+        for i in self.fleet.homes(key, skip + KEY_HOMES).into_iter().skip(skip) {
+            self.consider(i, job, best);
+        }
+    }
+
+    pub(super) fn report(&mut self, i: usize, load: Option<Load>) {
+        let Some(load) = load else { return };
+        let Some(free) = load.free_slots else { return };
+        let room = load.free_memory.map_or(free, |m| free.min(m));
+        self.hold(i, 0.0);
+        let w = &self.fleet.workers[i];
+        let kind = &mut self.kinds[w.kind];
+        kind.slots += (free - kind.slots).max(0.0) * if kind.slots == 0.0 { 1.0 } else { LEARN_SLOTS };
+        let (slots, queue) = (self.slots_of(w), load.queue.unwrap_or(0.0));
+        let seen = slots - room + queue - w.ours_late;
+        if !self.cfg.tells_start {
+            // Nobody says when a job starts, but a queue says that some did not.
+            let waiting = queue.round().min(slots);
+            if waiting > 0.0 {
+                self.rate.bounce(i, waiting);
+            }
+        }
+        self.heard(i, 0.5 * (seen.max(0.0) + self.others(&self.fleet.workers[i])));
+    }
+
+    pub(super) fn hold(&mut self, i: usize, slots: f64) {
+        let late = REPORT_LATE * self.window();
+        self.fleet.workers[i].hold(slots, self.now, late);
+    }
+
+    pub(super) fn heard(&mut self, i: usize, others: f64) {
+        let share = others / self.slots_of(&self.fleet.workers[i]);
+        self.usual += LEARN_CLASS * (share.min(1.0) - self.usual);
+        let w = &mut self.fleet.workers[i];
+        (w.others, w.told) = (others, self.now);
+    }
+
+    pub(super) fn may_look(&self) -> bool {
+        self.cfg.may_probe && self.cfg.reports == Reports::Answers
+    }
+
+    /// Asks a few workers while a paid job waits for a free one: where traffic is thin, news is old.
+    /// A free worker answers soon; the own zone is asked first, then the others.
+    pub(super) fn look(&mut self, id: RequestId, far: bool, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.state == State::Paid) else { return };
+        let zones = self.fleet.zones.len() as u32;
+        let mut looks = (LOOKS_COST / self.cfg.probe_price.max(LOOKS_COST / LOOKS)).round() as usize;
+        for _ in 0..SAMPLE {
+            let step = if far { self.rng.u32(1..zones.max(2)) } else { 0 };
+            let zone = &self.fleet.zones[((self.cfg.zone + step) % zones.max(1)) as usize];
+            let i = zone.get(self.rng.usize(..zone.len().max(1))).copied();
+            if let Some(i) = i.filter(|&i| looks > 0 && !self.fleet.workers[i].probing && self.usable(i, job))
+            {
+                looks -= 1;
+                self.fleet.workers[i].probing = true;
+                actions.push(Action::Probe(self.fleet.workers[i].id));
+            }
+        }
+    }
+
+    pub(super) fn on_probe_due(&mut self, actions: &mut Vec<Action>) {
+        let n = self.fleet.workers.len();
+        let i = self.rng.usize(..n.max(1));
+        if let Some(w) = self.fleet.workers.get_mut(i) {
+            if w.state == WorkerState::Serving && !w.probing {
+                w.probing = true;
+                actions.push(Action::Probe(w.id));
+            }
+        }
+        // Each worker about once a second, but no more than one probe a request: they have a price.
+        let pace = (n as f64).min(1.0 + self.banks.iter().map(|b| b.asked).sum::<f64>()).max(1.0);
+        let after = 2.0 * self.rng.f64() / pace;
+        self.wake(after, Wake::Probe);
+    }
+
+    pub(super) fn on_probed(&mut self, id: WorkerId, load: Option<Load>, actions: &mut Vec<Action>) {
+        let Some(&i) = self.fleet.index.get(&id) else { return };
+        self.fleet.workers[i].probing = false;
+        self.report(i, load);
+        if load.is_some() && self.may_look() {
+            self.looked.truncate(SAMPLE - 1);
+            self.looked.push_front(i);
+            self.dispatch(actions);
+        }
+    }
+}
--- a/src/settings.rs
+++ b/crates/cairncrank-core/src/settings.rs
@@ -15,16 +15,21 @@
 
 /// A value that is not as it should be.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Bad {
+pub struct Bad {
     /// What was expected: a path of the settings, or a description.
     pub expected: String,
     /// What stood there.
     pub found: String,
 }
 
-pub(crate) type Parsed<T> = Result<T, Bad>;
+/// A value, or what was wrong with it.
+pub type Parsed<T> = Result<T, Bad>;
 
-pub(crate) fn bad<T>(expected: &str, found: &str) -> Parsed<T> {
+/// A fault: what was expected, and the first letters of what stood there.
+///
+/// # Errors
+/// Always.
+pub fn bad<T>(expected: &str, found: &str) -> Parsed<T> {
     Err(Bad { expected: expected.to_owned(), found: found.chars().take(80).collect() })
 }
 
@@ -34,7 +39,7 @@
 }
 
 /// The number by which the module knows a key that is no number.
-pub(crate) fn hash(text: &[u8]) -> u64 {
+pub fn hash(text: &[u8]) -> u64 {
     let mut hasher = FxHasher::default();
     hasher.write(text);
     // FxHash leaves the low bits of like names alike; one more round spreads them over all bits.
@@ -44,11 +49,12 @@
 }
 
 /// The settings as path=value pairs.
-pub(crate) struct Pairs<'a>(FxHashMap<Cow<'a, str>, Cow<'a, str>>);
+#[derive(Debug)]
+pub struct Pairs<'a>(FxHashMap<Cow<'a, str>, Cow<'a, str>>);
 
 impl<'a> Pairs<'a> {
     /// Of a line of the wire.
-    pub(crate) fn read(fields: impl Iterator<Item = &'a str>) -> Parsed<Self> {
+    pub fn read(fields: impl Iterator<Item = &'a str>) -> Parsed<Self> {
         let mut pairs = FxHashMap::default();
         for pair in fields.filter(|p| !p.is_empty() && *p != "-") {
             match pair.split_once('=') {
@@ -60,7 +66,7 @@
     }
 
     /// Of nested JSON.
-    pub(crate) fn flatten(value: &'a Value) -> Self {
+    pub fn flatten(value: &'a Value) -> Self {
         let mut pairs = Pairs(FxHashMap::default());
         pairs.put(String::new(), value);
         pairs
@@ -85,7 +91,8 @@
         }
     }
 
-    pub(crate) fn get<T: FromStr>(&self, path: &str, default: T) -> Parsed<T> {
+    /// The value at a path, or the default where nothing stands there.
+    pub fn get<T: FromStr>(&self, path: &str, default: T) -> Parsed<T> {
         match self.0.get(path) {
             None => Ok(default),
             Some(v) => v.parse().or_else(|_| bad(path, v)),
@@ -93,27 +100,30 @@
     }
 
     /// A finite number that is not negative.
-    pub(crate) fn size(&self, path: &str, default: f64) -> Parsed<f64> {
+    pub fn size(&self, path: &str, default: f64) -> Parsed<f64> {
         match self.get(path, default)? {
             v if v.is_finite() && v >= 0.0 => Ok(v),
             v => bad(path, &v.to_string()),
         }
     }
 
-    pub(crate) fn word(&self, path: &str) -> &str {
+    /// The value at a path as it stands; empty where there is none.
+    pub fn word(&self, path: &str) -> &str {
         self.0.get(path).map_or("", |v| v)
     }
 
-    pub(crate) fn list(&self, path: &str) -> impl Iterator<Item = &str> {
+    /// The values of a list of plain values.
+    pub fn list(&self, path: &str) -> impl Iterator<Item = &str> {
         self.word(path).split(',').filter(|v| !v.is_empty())
     }
 
     /// The names of a list of objects, in order.
-    pub(crate) fn names(&self, list: &str) -> Parsed<Vec<String>> {
+    pub fn names(&self, list: &str) -> Parsed<Vec<String>> {
         Ok((0..self.count(list)?).map(|i| self.word(&format!("{list}.{i}.name")).to_owned()).collect())
     }
 
-    pub(crate) fn count(&self, list: &str) -> Parsed<usize> {
+    /// How many objects a list of objects has.
+    pub fn count(&self, list: &str) -> Parsed<usize> {
         Ok(self.get::<usize>(&format!("{list}.count"), 0)?.min(MOST))
     }
 
@@ -134,7 +144,7 @@
 }
 
 /// The settings of the module.
-pub(crate) fn settings(pairs: &Pairs<'_>) -> Parsed<Settings> {
+pub fn settings(pairs: &Pairs<'_>) -> Parsed<Settings> {
     let d = Settings::default();
     let mut classes = Vec::new();
     for i in 0..pairs.count("profiles")? {
--- a/src/state.rs
+++ b/crates/cairncrank-core/src/state.rs
@@ -173,22 +173,6 @@
     }
 }
 
-/// Running times of a class.
-#[derive(Clone, Debug)]
-pub(crate) struct Runs {
-    pub mean: Seconds,
-    pub log: f64,
-    pub patience: Seconds,
-    pub seen: f64,
-}
-
-impl Runs {
-    /// Of a class of which nothing was seen yet.
-    pub(crate) fn unseen(mean: Seconds) -> Runs {
-        Runs { mean, log: mean.ln(), patience: 0.0, seen: 0.0 }
-    }
-}
-
 /// What is learned of a kind of worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Kind {
--- a/tests/failures.rs
+++ b/crates/cairncrank-core/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cairncrank::api::*;
+use cairncrank_core::api::*;
 use common::*;
 
 /// A dispatcher that may ask its twelve workers at this price.
--- a/tests/odd.rs
+++ b/crates/cairncrank-core/tests/odd.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cairncrank::api::*;
+use cairncrank_core::api::*;
 use common::*;
 
 /// Sends requests at a steady pace and answers each attempt after a tenth of a second as told.
--- a/tests/throttle.rs
+++ b/crates/cairncrank-core/tests/throttle.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cairncrank::api::*;
+use cairncrank_core::api::*;
 use common::*;
 use fastrand::Rng;
 
--- a/src/wire.rs
+++ b/crates/cairncrank-simhost/src/lib.rs
@@ -12,12 +12,12 @@
 use base64::Engine as _;
 use rustc_hash::FxHashMap;
 
-use crate::api::{
+use cairncrank_core::api::{
     Action, Event, Load, Member, Outcome, Request, RequestId, Scope, Seconds, WorkerId, WorkerState,
 };
-use crate::policy::Dispatcher;
-pub use crate::settings::worker_id;
-use crate::settings::{bad, settings, Bad, Pairs, Parsed};
+pub use cairncrank_core::settings::worker_id;
+use cairncrank_core::settings::{bad, settings, Bad, Pairs, Parsed};
+use cairncrank_core::Dispatcher;
 
 /// How many numbered worker lists the wire keeps.
 const LISTS: usize = 16;
--- a/src/bin/cairncrank-simhost.rs
+++ b/crates/cairncrank-simhost/src/main.rs
@@ -1,10 +1,9 @@
 //! Hosts dispatchers on the text wire: batches on standard input, replies on standard output.
-#![forbid(unsafe_code)]
 
 use std::io;
 use std::process::ExitCode;
 
-use cairncrank::wire::Host;
+use cairncrank_simhost::Host;
 
 /// Batches may be large; reading in big pieces saves system calls.
 const BUFFER: usize = 1 << 18;
--- a/tests/wire.rs
+++ b/crates/cairncrank-simhost/tests/wire.rs
@@ -1,6 +1,9 @@
 //! Transcripts of the wire: what goes in, what comes out, and what is refused as malformed.
 
-use cairncrank::wire::{Host, HostError};
+use std::io::Write as _;
+use std::process::{Command, Stdio};
+
+use cairncrank_simhost::{Host, HostError};
 
 const INIT: &str = "INIT 7 azs=a,b balancers=1 zone=0 slot-no=0 discovery=push unknown.key=x \
     profiles.count=1 profiles.0.deadline-s=5.0 profiles.0.promise-s=0.5 profiles.0.idempotency=free \
@@ -95,3 +98,16 @@
         assert!(matches!(serve(text), Err(HostError::Malformed(_))), "{text}");
     }
 }
+
+/// The adapter starts, answers an empty batch and ends with its input.
+#[test]
+fn the_adapter_answers() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cairncrank-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the adapter runs");
+    child.stdin.take().expect("its input").write_all(b"SYNC 1.5\nEOF_BATCH\n").expect("a batch");
+    let output = child.wait_with_output().expect("its end");
+    assert_eq!((output.status.code(), output.stdout.as_slice()), (Some(0), &b"OK\n"[..]));
+}
--- a/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -10,9 +10,9 @@
 use rustc_hash::FxHashMap;
 use serde_json::Value;
 
-use crate::api::{Member, Repeat, Scope, Settings, WorkerState};
 use crate::engine::{micros, Listed, Micros};
-use crate::settings::{settings, worker_id, Bad, Pairs};
+use cairncrank_core::api::{Member, Repeat, Scope, Settings, WorkerState};
+use cairncrank_core::settings::{settings, worker_id, Bad, Pairs};
 
 /// Descriptors where no limit is told.
 const SOCKETS: usize = 1024;
--- a/src/engine.rs
+++ b/crates/cairncrank/src/engine.rs
@@ -16,11 +16,11 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::api::{
+use cairncrank_core::api::{
     Action, Event, Member, Outcome, Request, RequestId, Scope, Seconds, Settings, WorkerId, WorkerState,
 };
-use crate::log;
-use crate::policy::Dispatcher;
+
+use cairncrank_core::Dispatcher;
 
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
@@ -504,7 +504,7 @@
         // A panic of the module costs the event at hand, not the requests of everybody else: each of those
         // is still answered at its deadline.
         if catch_unwind(AssertUnwindSafe(|| dispatcher.on_event(now, event, actions))).is_err() {
-            log::line("the decision module panicked; the event is lost");
+            tracing::error!("the decision module panicked; the event is lost");
         }
         self.act();
     }
@@ -523,7 +523,7 @@
                 Action::CloseIdle(worker) => {
                     let _ = self.commands.send(Command::CloseIdle(worker));
                 }
-                Action::Log(words) => log::line(&words),
+                Action::Log(words) => tracing::info!(target: "cairncrank::policy", "{words}"),
                 // Discovery is always watched; probes and messages between dispatchers have no form on sockets.
                 Action::Watch(_) | Action::FetchList | Action::Probe(_) | Action::Tell { .. } => {}
             }
--- /dev/null
+++ b/crates/cairncrank/src/lib.rs
@@ -0,0 +1,8 @@
+#![doc = include_str!("../../../README.md")]
+
+pub mod config;
+pub mod engine;
+pub mod log;
+pub mod net;
+
+pub use cairncrank_core::{api, Action, Dispatcher, Event, Settings};
--- /dev/null
+++ b/crates/cairncrank/src/log.rs
@@ -0,0 +1,271 @@
+//! The log: `tracing` events as lines of text or JSON on standard error, so many a second at the most, written by a
+//! thread of their own.
+//!
+//! Under overload a dispatcher that logs each mishap would spend its core on telling so, and one that waits for a
+//! reader that does not read would stand still. Lines over the bound are counted before they are formatted, and the
+//! next line that is written says how many were left out. Between the program and the thread that writes, so many
+//! lines wait at the most; what finds no room is left out as well.
+
+use std::io::{self, Write};
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tracing::{Event, Metadata, Subscriber};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt as _};
+use tracing_subscriber::{Layer as _, Registry};
+
+/// The most lines in one second, and the most that wait to be written.
+const MOST: u32 = 20;
+const WAITING: usize = 64;
+/// A longer line is cut: what a peer sends may stand in it.
+const LONGEST_LINE: usize = 1024;
+
+/// How lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(word: &str) -> Result<Self, String> {
+        match word {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            other => Err(format!("expected text or json, found '{other}'")),
+        }
+    }
+}
+
+/// Reads levels by target, such as `info` or `warn,cairncrank::net=debug`.
+///
+/// # Errors
+/// What is no level and no target, in words.
+pub fn levels(words: &str) -> Result<Targets, String> {
+    let targets = words.parse::<Targets>().map_err(|error| format!("'{words}': {error}"))?;
+    if words.trim().is_empty() {
+        return Err("expected a level such as info, or target=level".to_owned());
+    }
+    Ok(targets)
+}
+
+/// The levels where none are given: all that tells an operator something.
+pub fn usual_levels() -> Targets {
+    Targets::new().with_default(LevelFilter::INFO)
+}
+
+/// The bound of lines a second.
+#[derive(Debug)]
+struct Budget(Mutex<Window>);
+
+#[derive(Debug)]
+struct Window {
+    since: Instant,
+    lines: u32,
+    left_out: u32,
+}
+
+impl Budget {
+    fn new() -> Budget {
+        Budget(Mutex::new(Window { since: Instant::now(), lines: 0, left_out: 0 }))
+    }
+
+    fn window(&self) -> std::sync::MutexGuard<'_, Window> {
+        // A panic while counting leaves counts that are as good as any.
+        self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes a line's place in this second, or counts it as left out.
+    fn take(&self, now: Instant) -> bool {
+        let mut window = self.window();
+        if now.duration_since(window.since) >= Duration::from_secs(1) {
+            (window.since, window.lines) = (now, 0);
+        }
+        let room = window.lines < MOST;
+        if room {
+            window.lines += 1;
+        } else {
+            window.left_out = window.left_out.saturating_add(1);
+        }
+        room
+    }
+
+    fn left_out(&self) -> u32 {
+        std::mem::take(&mut self.window().left_out)
+    }
+}
+
+/// Keeps events that the budget has no room for from being formatted.
+struct Bound(Arc<Budget>);
+
+impl<S: Subscriber> Filter<S> for Bound {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
+        self.0.take(Instant::now())
+    }
+}
+
+/// Hands whole lines to the thread that writes.
+#[derive(Clone)]
+struct Lines {
+    writer: NonBlocking,
+    budget: Arc<Budget>,
+    format: Format,
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Lines;
+
+    fn make_writer(&'a self) -> Lines {
+        self.clone()
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, event: &[u8]) -> io::Result<usize> {
+        let left_out = self.budget.left_out();
+        if left_out > 0 {
+            let line = match self.format {
+                Format::Text => format!("{left_out} lines left out\n"),
+                Format::Json => format!("{{\"level\":\"WARN\",\"left_out\":{left_out}}}\n"),
+            };
+            self.writer.write_all(line.as_bytes())?;
+        }
+        self.writer.write_all(&one_line(event))?;
+        Ok(event.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// An event as one line of bounded length: words of a peer must not look like lines of ours.
+fn one_line(event: &[u8]) -> Vec<u8> {
+    let text = event.strip_suffix(b"\n").unwrap_or(event);
+    let blank = |&byte: &u8| if byte.is_ascii_control() { b' ' } else { byte };
+    let mut line: Vec<u8> = text.iter().take(LONGEST_LINE).map(blank).collect();
+    line.push(b'\n');
+    line
+}
+
+/// A subscriber that writes to `sink`, and the guard that ends its thread: dropped, it waits a moment for the lines
+/// that are on their way.
+pub fn subscriber<W: Write + Send + 'static>(
+    sink: W,
+    levels: Targets,
+    format: Format,
+) -> (impl Subscriber + Send + Sync, WorkerGuard) {
+    let (writer, guard) =
+        NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING).finish(sink);
+    let budget = Arc::new(Budget::new());
+    let lines = Lines { writer, budget: Arc::clone(&budget), format };
+    let plain = tracing_subscriber::fmt::layer().with_writer(lines).with_ansi(false);
+    let layer = match format {
+        Format::Text => plain.boxed(),
+        Format::Json => plain.json().flatten_event(true).with_span_list(false).boxed(),
+    };
+    // The levels stand outside: what they leave out takes no place in the budget.
+    (Registry::default().with(layer.with_filter(Bound(budget)).with_filter(levels)), guard)
+}
+
+/// Sends the program's events to standard error. The guard belongs to the end of `main`.
+pub fn start(levels: Targets, format: Format) -> WorkerGuard {
+    let (subscriber, guard) = subscriber(io::stderr(), levels, format);
+    // Only a second start could fail, and then the first one holds.
+    let _ = tracing::subscriber::set_global_default(subscriber);
+    guard
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Clone, Default)]
+    struct Sink(Arc<Mutex<Vec<u8>>>);
+
+    impl Write for Sink {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().expect("no panic while writing").extend_from_slice(bytes);
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    fn logged(levels: &str, format: Format, say: impl FnOnce()) -> Vec<String> {
+        let sink = Sink::default();
+        let (subscriber, guard) = subscriber(sink.clone(), super::levels(levels).expect("levels"), format);
+        tracing::subscriber::with_default(subscriber, say);
+        drop(guard);
+        let text = String::from_utf8(sink.0.lock().expect("written").clone()).expect("text");
+        text.lines().map(str::to_owned).collect()
+    }
+
+    #[test]
+    fn levels_are_by_target() {
+        let lines = logged("warn,loud=debug", Format::Text, || {
+            tracing::info!("hidden");
+            tracing::debug!(target: "loud", worker = 3, "shown");
+        });
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        assert!(lines[0].contains("shown worker=3"), "{lines:?}");
+    }
+
+    #[test]
+    fn what_a_peer_sends_stays_in_one_json_line() {
+        let lines = logged("info", Format::Json, || tracing::warn!("a\r\n{}", "b".repeat(5000)));
+        assert_eq!(lines.len(), 1);
+        assert!(lines[0].len() <= LONGEST_LINE && lines[0].contains("\"level\":\"WARN\""), "{lines:?}");
+    }
+
+    /// An attack that causes a line each time gets the bound of lines; those left out take no place by level.
+    #[test]
+    fn lines_a_second_are_bounded_and_the_rest_is_counted() {
+        let budget = Budget::new();
+        let start = Instant::now();
+        let taken = (0..10_000).filter(|_| budget.take(start)).count();
+        assert_eq!(taken, MOST as usize);
+        assert!(budget.take(start + Duration::from_millis(1001)), "the next second has room");
+        assert_eq!((budget.left_out(), budget.left_out()), (10_000 - MOST, 0));
+    }
+
+    /// A reader that does not read holds up the thread that writes, and nothing else.
+    #[test]
+    fn a_reader_that_does_not_read_stops_nobody() {
+        struct Stuck(std::sync::mpsc::Receiver<()>);
+        impl Write for Stuck {
+            fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+                let _ = self.0.recv();
+                Ok(bytes.len())
+            }
+            fn flush(&mut self) -> io::Result<()> {
+                Ok(())
+            }
+        }
+        let (release, stuck) = std::sync::mpsc::channel();
+        let (writer, guard) =
+            NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING).finish(Stuck(stuck));
+        let mut lines =
+            Lines { writer: writer.clone(), budget: Arc::new(Budget::new()), format: Format::Text };
+        for _ in 0..10 * WAITING {
+            lines.write_all(b"a line\n").expect("never fails");
+        }
+        assert!(writer.error_counter().dropped_lines() >= 8 * WAITING);
+        drop(release);
+        drop(guard);
+    }
+}
--- a/src/main.rs
+++ b/crates/cairncrank/src/main.rs
@@ -1,22 +1,24 @@
 //! The command line of the dispatcher.
-#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
 use cairncrank::config::{Config, ConfigError};
+use cairncrank::log;
 use cairncrank::net::{self, signal};
 use lexopt::prelude::{Long, Short, Value};
 use lexopt::ValueExt as _;
+use tracing_subscriber::filter::Targets;
 
 const USAGE: &str = "\
 cairncrank: a job dispatcher
 
-usage: cairncrank [serve] [--config FILE]    serve jobs (the default)
+usage: cairncrank [serve] [--config FILE] [--log LEVELS] [--log-format text|json]    serve jobs (the default)
        cairncrank check-config [--config FILE]    read the configuration, say what is wrong with it
        cairncrank version    print the version
 
 The configuration is the file that --config names, or else BALANCER_CONFIG. BALANCER_NAME, BALANCER_LISTEN and
 BALANCER_DISCOVERY win over what it says of them. On SIGHUP the file is read again; there its discovery wins.
+LEVELS is a level, or levels by target: info (the default), or warn,cairncrank::net=debug.
 ";
 
 /// The exit code of bad usage.
@@ -29,12 +31,23 @@
     Help,
 }
 
-fn arguments() -> Result<(Command, Option<String>), lexopt::Error> {
+/// What the command line says.
+struct Arguments {
+    command: Command,
+    config: Option<String>,
+    levels: Targets,
+    format: log::Format,
+}
+
+fn arguments() -> Result<Arguments, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
     let (mut command, mut config) = (None, None);
+    let (mut levels, mut format) = (log::usual_levels(), log::Format::default());
     while let Some(argument) = parser.next()? {
         match argument {
             Long("config") => config = Some(parser.value()?.string()?),
+            Long("log") => levels = parser.value()?.parse_with(log::levels)?,
+            Long("log-format") => format = parser.value()?.parse()?,
             Long("help") | Short('h') => command = Some(Command::Help),
             Long("version") | Short('V') => command = Some(Command::Version),
             Value(word) if command.is_none() => {
@@ -49,11 +62,11 @@
             other => return Err(other.unexpected()),
         }
     }
-    Ok((command.unwrap_or(Command::Serve), config))
+    Ok(Arguments { command: command.unwrap_or(Command::Serve), config, levels, format })
 }
 
 fn main() -> ExitCode {
-    let (command, file) = match arguments() {
+    let Arguments { command, config: file, levels, format } = match arguments() {
         Ok(arguments) => arguments,
         Err(error) => {
             eprint!("cairncrank: {error}\n\n{USAGE}");
@@ -79,7 +92,10 @@
             Err(error) => return misconfigured(&error),
         },
         Command::Serve => match Config::from_environment(&variable) {
-            Ok(config) => return serve(config, variable),
+            Ok(config) => {
+                let _guard = log::start(levels, format);
+                return serve(config, variable);
+            }
             Err(error) => return misconfigured(&error),
         },
     }
@@ -103,7 +119,7 @@
     match runtime.and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("cairncrank: {error}");
+            tracing::error!(%error, "the program ends");
             ExitCode::FAILURE
         }
     }
--- a/src/net/client.rs
+++ b/crates/cairncrank/src/net/client.rs
@@ -13,10 +13,10 @@
 use super::http::{reason, text, Decoder, Framing, Head, Malformed, Piece, Start, MAX_BODY};
 use super::signal::Phase;
 use super::{read_more, waiting, write_whole, Configs};
-use crate::api::{Request, RequestId};
 use crate::engine::{micros, Answer, Fault, Handle, Input, Job, Micros, Payload};
-use crate::log;
-use crate::settings::hash;
+use cairncrank_core::api::{Request, RequestId};
+
+use cairncrank_core::settings::hash;
 
 /// From this part of the connections on, in hundredths, idle ones are closed and new ones refused: a
 /// dispatcher without descriptors could neither accept nor reach a worker.
@@ -97,7 +97,7 @@
             // First, so that what has ended is not counted against what comes.
             Some(done) = tasks.join_next() => {
                 if done.is_err() {
-                    log::line("a connection's task panicked; its connection is closed");
+                    tracing::error!("a connection's task panicked; its connection is closed");
                 }
             }
             accepted = accepted, if tasks.len() < most => match accepted {
@@ -106,7 +106,7 @@
                     tasks.spawn_local(Connection::serve(stream, shared.clone(), crowd_now));
                 }
                 Some(Err(error)) => {
-                    log::line(&format!("cannot accept: {error}"));
+                    tracing::warn!(%error, "cannot accept");
                     sleep(ACCEPT_PAUSE).await;
                 }
                 None => listener = None,
--- a/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -16,10 +16,9 @@
 
 use super::http::{Decoder, Head, Lines, Piece, Start};
 use super::{read_more, waiting, write_whole, Configs};
-use crate::api::{Seconds, WorkerId, WorkerState};
 use crate::config::{self, Config, Names};
 use crate::engine::{Handle, Input, Listed};
-use crate::log;
+use cairncrank_core::api::{Seconds, WorkerId, WorkerState};
 
 /// An empty line comes every 2 s; a watch that is silent for longer is dead, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2800);
@@ -83,7 +82,7 @@
             continue;
         }
         if told.revision.get() == before && !failing {
-            log::line(&format!("discovery: {end}"));
+            tracing::warn!("discovery: {end}");
         }
         failing = told.revision.get() == before;
         let _ = timeout(PAUSE, configs.wait_for(|now| moved(&config, now))).await;
--- a/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -20,7 +20,6 @@
 
 use crate::config::Config;
 use crate::engine::{Clock, Engine, Handle, Input};
-use crate::log;
 
 /// What one read asks for; a buffer grows by this.
 const READ: usize = 8 * 1024;
@@ -82,11 +81,11 @@
         let old = config.borrow().clone();
         match (reload.read)(&old) {
             Ok(new) => {
-                log::line(&format!("configuration read again; discovery is {}", new.discovery));
+                tracing::info!(discovery = %new.discovery, "configuration read again");
                 handle.tell(Input::Configure(Box::new(new.settings.clone())));
                 config.send_replace(Rc::new(new));
             }
-            Err(error) => log::line(&format!("configuration unchanged: {error}")),
+            Err(error) => tracing::error!("configuration unchanged: {error}"),
         }
     }
     // Whoever could ask is gone.
--- a/src/net/worker.rs
+++ b/crates/cairncrank/src/net/worker.rs
@@ -19,9 +19,9 @@
 
 use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
 use super::{read_more, write_whole, Configs};
-use crate::api::{Outcome, RequestId, Scope, WorkerId};
 use crate::engine::{Clock, Command, Handle, Input, Micros, Payload, Reach};
-use crate::settings::worker_id;
+use cairncrank_core::api::{Outcome, RequestId, Scope, WorkerId};
+use cairncrank_core::settings::worker_id;
 
 /// A line of a worker may be this long: a result as large as a body, with room for escapes.
 const LONGEST_LINE: usize = 2 * MAX_BODY + 1024;
--- a/tests/config.rs
+++ b/crates/cairncrank/tests/config.rs
@@ -1,13 +1,12 @@
 //! Messages about the configuration name the faulty key, and the command line says what is wrong with a call.
 
-use std::io::Write as _;
 use std::process::{Command, Stdio};
 
 use cairncrank::config::Config;
 use serde_json::{json, Value};
 
 fn good() -> Value {
-    serde_json::from_str(include_str!("../examples/config.json")).expect("the example is JSON")
+    serde_json::from_str(include_str!("../../../examples/config.json")).expect("the example is JSON")
 }
 
 fn fault(change: impl FnOnce(&mut Value)) -> String {
@@ -64,28 +63,19 @@
     assert_eq!((code, out.as_str()), (Some(2), ""));
     assert!(error.contains("'dance'") && error.contains("usage:"), "{error}");
     assert_eq!(cairncrank(&["--loud"]).0, Some(2));
+    for (option, word) in [("--log", "loud=much"), ("--log-format", "xml")] {
+        let (code, _, error) = cairncrank(&["version", option, word]);
+        assert!(code == Some(2) && error.contains(word), "{error}");
+    }
     let (code, out, _) = cairncrank(&["version"]);
     assert_eq!((code, out.trim()), (Some(0), concat!("cairncrank ", env!("CARGO_PKG_VERSION"))));
     let (code, _, error) = cairncrank(&[]);
     assert!(code == Some(1) && error.contains("BALANCER_CONFIG"), "{error}");
-    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json");
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json");
     let (code, out, error) = cairncrank(&["check-config", "--config", example]);
     assert!(code == Some(0) && out.contains("2 classes"), "{out}{error}");
 }
 
-/// The adapter starts, answers an empty batch and ends with its input.
-#[test]
-fn the_adapter_answers() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cairncrank-simhost"))
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the adapter runs");
-    child.stdin.take().expect("its input").write_all(b"SYNC 1.5\nEOF_BATCH\n").expect("a batch");
-    let output = child.wait_with_output().expect("its end");
-    assert_eq!((output.status.code(), output.stdout.as_slice()), (Some(0), &b"OK\n"[..]));
-}
-
 /// The program itself, with sockets and a real signal: SIGTERM ends it in good order.
 #[cfg(unix)]
 #[test]
@@ -96,7 +86,7 @@
     };
     let (address, nobody) = (free(), free());
     let mut child = Command::new(env!("CARGO_BIN_EXE_cairncrank"))
-        .args(["serve", "--config", concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")])
+        .args(["serve", "--config", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json")])
         .env("BALANCER_LISTEN", address.to_string())
         .env("BALANCER_DISCOVERY", nobody.to_string())
         .stderr(Stdio::null())
