Add the lab: an emulator of the fleet in virtual time, with checkers and HCL experiments

Results are JSON, a table and SVG charts. cairncrank-hcl reads HCL with faults that name file, line and key.

--- /dev/null
+++ b/crates/cairncrank-lab/src/figures.rs
@@ -0,0 +1,280 @@
+//! What a run is judged by: service by size, class and tenant, lateness, and large jobs that starved.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::checker::Breaches;
+use crate::day::{micros, Day, Micros, DAWN};
+use crate::spec::Experiment;
+
+/// The worst window is this long.
+const WINDOW: Micros = 10_000_000;
+/// What the operators weigh: the whole day, its worst window, its worst class, its worst tenant.
+const GOAL: (f64, f64, f64, f64) = (0.55, 0.15, 0.05, 0.25);
+/// Prices, as parts of the service: all failing late only, a connection for each request, all work wasted.
+const LATE_FAIL: f64 = 0.076;
+const CONNECTION: f64 = 0.05;
+const WASTE: f64 = 0.016;
+/// The longest lateness that the histogram tells apart, in milliseconds.
+const LONGEST_LATE: u64 = 600_000;
+
+/// Worth answered in time (or late, at its part) over worth asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// Asked for.
+    pub asked: f64,
+    /// Earned.
+    pub earned: f64,
+}
+
+impl Part {
+    fn add(&mut self, worth: f64, earned: f64) {
+        self.asked += worth;
+        self.earned += earned;
+    }
+
+    /// The service; whole where nothing was asked for.
+    pub fn service(self) -> f64 {
+        if self.asked > 0.0 {
+            self.earned / self.asked
+        } else {
+            1.0
+        }
+    }
+}
+
+/// How a job ended for its client, its retry included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served, at this time.
+    Served(Micros),
+    /// Refused last.
+    Refused(Micros),
+    /// Failed or unreachable last.
+    Failed(Micros),
+    /// The client left.
+    Left,
+}
+
+/// A job that ran, as its worker saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran {
+    /// The job.
+    pub job: u32,
+    /// The worker.
+    pub worker: u32,
+    /// From when ...
+    pub from: Micros,
+    /// ... to when; the end of time while it runs.
+    pub to: Micros,
+}
+
+/// What a drive hands over of a day.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// How each job ended.
+    pub ends: Vec<Option<End>>,
+    /// Whether each job was let in: it was not turned away on arrival.
+    pub admitted: Vec<bool>,
+    /// What ran.
+    pub ran: Vec<Ran>,
+    /// The speed of each worker, its slots, and from when to when it took jobs warm.
+    pub workers: Vec<(f64, u32, Micros, Micros)>,
+    /// Breaches of the rules.
+    pub rules: Breaches,
+    /// Sends, those across zones, new connections, tries and events.
+    pub sends: u64,
+    /// See there.
+    pub crossings: u64,
+    /// See there.
+    pub connects: u64,
+    /// See there.
+    pub tries: u64,
+    /// See there.
+    pub events: u64,
+}
+
+/// The figures of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    /// All jobs.
+    pub all: Part,
+    /// Jobs of fewer slots than count as large.
+    pub small: Part,
+    /// The others.
+    pub large: Part,
+    /// By class.
+    pub classes: BTreeMap<String, Part>,
+    /// By tenant.
+    pub tenants: BTreeMap<String, Part>,
+    /// The operators' goal, prices taken off.
+    pub goal: f64,
+    /// Parts of the jobs.
+    pub late: f64,
+    /// See there.
+    pub refused: f64,
+    /// See there.
+    pub failed: f64,
+    /// The 99th percentile of lateness of served jobs, in milliseconds.
+    pub late_p99_ms: f64,
+    /// Large jobs, those let in, those of them that were late, and those of these that starved.
+    pub large_jobs: u64,
+    /// See there.
+    pub large_admitted: u64,
+    /// See there.
+    pub large_late: u64,
+    /// See there.
+    pub large_starved: u64,
+    /// Breaches of the rules.
+    pub rules: Breaches,
+    /// Jobs, tries, sends, new connections and events.
+    pub jobs: u64,
+    /// See there.
+    pub tries: u64,
+    /// See there.
+    pub sends: u64,
+    /// See there.
+    pub connects: u64,
+    /// See there.
+    pub events: u64,
+}
+
+impl Figures {
+    /// Judges a record.
+    pub fn judge(experiment: &Experiment, day: &Day, record: &Record) -> Figures {
+        let mut f = Figures { rules: record.rules, jobs: day.jobs.len() as u64, ..Figures::default() };
+        (f.tries, f.sends, f.connects, f.events) =
+            (record.tries, record.sends, record.connects, record.events);
+        let mut windows: BTreeMap<Micros, Part> = BTreeMap::new();
+        let mut lateness = Histogram::<u64>::new_with_max(LONGEST_LATE, 3).ok();
+        let (mut late, mut refused, mut failed, mut late_fails) = (0u64, 0u64, 0u64, 0u64);
+        let mut late_large = Vec::new();
+        for (n, job) in day.jobs.iter().enumerate() {
+            let class = &experiment.traffic.classes[job.class as usize];
+            let wanted = job.at + wanted(experiment, day, n);
+            let end = record.ends.get(n).copied().flatten();
+            if end == Some(End::Left) {
+                // Nobody waits for it any more: neither asked for nor earned.
+                continue;
+            }
+            let earned = match end {
+                Some(End::Served(at)) if at <= wanted => job.worth,
+                Some(End::Served(_)) => job.worth * class.late_worth,
+                _ => 0.0,
+            };
+            match end {
+                Some(End::Served(at)) => {
+                    if let Some(lateness) = &mut lateness {
+                        lateness.saturating_record(at.saturating_sub(wanted) / 1000);
+                    }
+                    late += u64::from(at > wanted);
+                }
+                Some(End::Refused(at)) => {
+                    refused += 1;
+                    late_fails += u64::from(at > wanted);
+                }
+                Some(End::Failed(at)) => {
+                    failed += 1;
+                    late_fails += u64::from(at > wanted);
+                }
+                _ => failed += 1,
+            }
+            let large = job.slots >= experiment.large_slots;
+            f.all.add(job.worth, earned);
+            if large { &mut f.large } else { &mut f.small }.add(job.worth, earned);
+            f.classes.entry(class.name.clone()).or_default().add(job.worth, earned);
+            if let Some(tenant) = experiment.traffic.tenants.get(job.tenant as usize) {
+                f.tenants.entry(tenant.name.clone()).or_default().add(job.worth, earned);
+            }
+            windows.entry((job.at - DAWN) / WINDOW).or_default().add(job.worth, earned);
+            if large {
+                f.large_jobs += 1;
+                let admitted = record.admitted.get(n).copied().unwrap_or(false);
+                f.large_admitted += u64::from(admitted);
+                if admitted && !matches!(end, Some(End::Served(at)) if at <= wanted) {
+                    late_large.push(n);
+                }
+            }
+        }
+        let jobs = (f.jobs as f64).max(1.0);
+        (f.late, f.refused, f.failed) = (late as f64 / jobs, refused as f64 / jobs, failed as f64 / jobs);
+        f.late_p99_ms = lateness.map_or(0.0, |l| l.value_at_quantile(0.99) as f64);
+        f.large_late = late_large.len() as u64;
+        let runs = Runs::of(day, record);
+        let starved = late_large.iter().filter(|n| runs.starved(**n, wanted(experiment, day, **n)));
+        f.large_starved = starved.count() as u64;
+        let least = |parts: &mut dyn Iterator<Item = &Part>| {
+            parts.map(|p| p.service()).fold(f64::INFINITY, f64::min).min(1.0)
+        };
+        // The last window may hold a handful of jobs only.
+        let whole = day.end.saturating_sub(DAWN) / WINDOW;
+        let worst_window = least(&mut windows.range(..whole.max(1)).map(|(_, part)| part));
+        f.goal = GOAL.0 * f.all.service()
+            + GOAL.1 * worst_window
+            + GOAL.2 * least(&mut f.classes.values())
+            + GOAL.3 * least(&mut f.tenants.values())
+            - experiment.rules.cross_zone_price * record.crossings as f64 / jobs
+            - LATE_FAIL * late_fails as f64 / jobs
+            - CONNECTION * record.connects as f64 / jobs
+            - WASTE * (record.sends as f64 / jobs - 1.0).max(0.0);
+        f
+    }
+}
+
+/// How long after its arrival a job is wanted.
+pub fn wanted(experiment: &Experiment, day: &Day, n: usize) -> Micros {
+    let job = &day.jobs[n];
+    let class = &experiment.traffic.classes[job.class as usize];
+    micros((class.aim + class.stretch * job.work).min(class.patience))
+}
+
+/// What ran, by the order of starts, by job and by worker.
+struct Runs<'a> {
+    day: &'a Day,
+    record: &'a Record,
+    by_worker: Vec<Vec<&'a Ran>>,
+    first_start: Vec<Micros>,
+}
+
+impl<'a> Runs<'a> {
+    fn of(day: &'a Day, record: &'a Record) -> Runs<'a> {
+        let mut by_worker = vec![Vec::new(); record.workers.len()];
+        let mut first_start = vec![Micros::MAX; day.jobs.len()];
+        for ran in &record.ran {
+            by_worker[ran.worker as usize].push(ran);
+            let first = &mut first_start[ran.job as usize];
+            *first = ran.from.min(*first);
+        }
+        Runs { day, record, by_worker, first_start }
+    }
+
+    /// A large job starved if it was late although, while it waited and could still have been in time there, a warm
+    /// worker that took jobs began a smaller job that was handed in after it, with room for the large one but for
+    /// such smaller jobs.
+    fn starved(&self, n: usize, wanted: Micros) -> bool {
+        let job = &self.day.jobs[n];
+        let by = job.at + wanted;
+        let began = self.first_start[n].min(by);
+        let later_and_smaller = |ran: &Ran| {
+            let other = &self.day.jobs[ran.job as usize];
+            other.at > job.at && other.slots < job.slots
+        };
+        // Records are in the order of their starts.
+        let first = self.record.ran.partition_point(|ran| ran.from <= job.at);
+        let starts = self.record.ran[first..].iter().take_while(|ran| ran.from < began);
+        starts.filter(|ran| later_and_smaller(ran)).any(|start| {
+            let (speed, slots, warm_from, until) = self.record.workers[start.worker as usize];
+            let would_end = start.from + micros(job.work / speed.max(1e-6));
+            if would_end > by || slots < job.slots || !(warm_from..until).contains(&start.from) {
+                return false;
+            }
+            let there = &self.by_worker[start.worker as usize];
+            let before = there.partition_point(|ran| ran.from <= start.from);
+            let at_once = there[..before].iter().filter(|ran| start.from < ran.to);
+            let others = at_once.filter(|ran| !later_and_smaller(ran));
+            others.map(|ran| self.day.jobs[ran.job as usize].slots).sum::<u32>() + job.slots <= slots
+        })
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/main.rs
@@ -0,0 +1,131 @@
+//! The command line of the lab.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+use cairncrank_lab::report::{compare, Results};
+use cairncrank_lab::run::virtual_runs;
+use cairncrank_lab::spec::{self, Experiment};
+use clap::{Parser, Subcommand, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+
+/// Emulates a fleet and runs experiments on it.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays an experiment and leaves results.json, table.md and charts.
+    Run {
+        /// The experiment, an HCL file.
+        file: PathBuf,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, counted up from the first.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+        seeds: u64,
+        /// The folder for the results, made where there is none.
+        #[arg(long)]
+        out: PathBuf,
+        /// What plays it.
+        #[arg(long, value_enum, default_value_t = Drive::Virtual)]
+        drive: Drive,
+    },
+    /// Shows what changed from one folder of results to another.
+    Compare {
+        /// The results before.
+        before: PathBuf,
+        /// The results after.
+        after: PathBuf,
+    },
+    /// Lists experiments.
+    List {
+        /// Where they are.
+        #[arg(default_value = "experiments")]
+        folder: PathBuf,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Drive {
+    /// Discrete events, no clock.
+    Virtual,
+}
+
+fn read(file: &Path) -> Result<Experiment, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    spec::read(&file.display().to_string(), &text).map_err(|fault| fault.to_string())
+}
+
+fn run(file: &Path, first: u64, count: u64, out: &Path, drive: Drive) -> Result<(), String> {
+    let experiment = read(file)?;
+    let last = first.checked_add(count - 1).ok_or("--seed: no room for so many seeds after it")?;
+    let seeds: Vec<u64> = (first..=last).collect();
+    let runs = experiment.cases.len() * experiment.arms.len() * seeds.len();
+    let bar = ProgressBar::new(runs as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} left") {
+        bar.set_style(style);
+    }
+    let start = Instant::now();
+    let runs = match drive {
+        Drive::Virtual => virtual_runs(&experiment, &seeds, &bar),
+    };
+    bar.finish_and_clear();
+    let results = Results::of(&experiment, "virtual", &seeds, &runs);
+    results.write(out).map_err(|error| format!("{}: {error}", out.display()))?;
+    print!("{}", results.table());
+    let events: u64 = runs.iter().map(|run| run.figures.events).sum();
+    let jobs: u64 = runs.iter().map(|run| run.figures.jobs).sum();
+    let took = start.elapsed().as_secs_f64();
+    eprintln!(
+        "{} runs, {jobs} jobs, {events} events in {took:.1} s: {:.0} events a second",
+        runs.len(),
+        events as f64 / took
+    );
+    Ok(())
+}
+
+fn list(folder: &Path) -> Result<(), String> {
+    let entries = std::fs::read_dir(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let mut files: Vec<PathBuf> = entries.filter_map(|entry| entry.ok().map(|entry| entry.path())).collect();
+    files.retain(|file| file.extension().is_some_and(|extension| extension == "hcl"));
+    files.sort();
+    for file in files {
+        match read(&file) {
+            Ok(e) => {
+                println!("{}: {} ({} cases, {} arms)", file.display(), e.about, e.cases.len(), e.arms.len())
+            }
+            Err(fault) => println!("{fault}"),
+        }
+    }
+    Ok(())
+}
+
+fn results(folder: &Path) -> Result<Results, String> {
+    Results::read(folder).map_err(|error| format!("{}: {error}", folder.display()))
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run { file, seed, seeds, out, drive } => run(&file, seed, seeds, &out, drive),
+        Command::Compare { before, after } => results(&before).and_then(|before| {
+            let after = results(&after)?;
+            print!("{}", compare(&before, &after));
+            Ok(())
+        }),
+        Command::List { folder } => list(&folder),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("cairncrank-lab: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/router.rs
@@ -0,0 +1,211 @@
+//! Who decides in an arm: the decision module itself, or one of the policies that it is compared with.
+//!
+//! All of them are told the same events and answer with the same actions, so the drives know one kind of router.
+
+use cairncrank_core::api::{
+    Action, Event, Member, Outcome, Repeat, Request, RequestId, Scope, Seconds, Settings, WorkerId,
+    WorkerState,
+};
+use cairncrank_core::Dispatcher;
+use rand::Rng as _;
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+
+use crate::day::stream;
+use crate::spec::RouterKind;
+
+/// The true state of the fleet, for the one router that may see it.
+pub trait Sight {
+    /// Seconds until the worker would be done with the request if it were sent now; none if it would not take it.
+    fn foresee(&self, worker: WorkerId, request: RequestId) -> Option<Seconds>;
+    /// Seconds until the answer to the request is late.
+    fn left(&self, request: RequestId) -> Seconds;
+}
+
+/// Decides for one dispatcher.
+pub trait Router: Send {
+    /// Begins work.
+    fn start(&mut self, now: Seconds, actions: &mut Vec<Action>);
+    /// Takes an event and appends what is to be done.
+    fn on_event(&mut self, now: Seconds, event: Event<'_>, actions: &mut Vec<Action>, sight: &dyn Sight);
+}
+
+/// A router of a kind; the same seed gives the same decisions.
+pub fn router(kind: RouterKind, settings: Settings, seed: u64) -> Box<dyn Router> {
+    match kind {
+        RouterKind::Cairncrank => Box::new(Module(Dispatcher::new(settings, seed))),
+        other => Box::new(Reference::new(other, settings, seed)),
+    }
+}
+
+struct Module(Dispatcher);
+
+impl Router for Module {
+    fn start(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        self.0.start(now, actions);
+    }
+
+    fn on_event(&mut self, now: Seconds, event: Event<'_>, actions: &mut Vec<Action>, _: &dyn Sight) {
+        self.0.on_event(now, event, actions);
+    }
+}
+
+/// A policy to compare with: it sends every job at once to a worker of its choice, keeps drains, and tries again
+/// what never ran or may run twice. It admits all, knows no budget of cold workers and leaves none out.
+struct Reference {
+    kind: RouterKind,
+    settings: Settings,
+    rng: Pcg64Mcg,
+    /// The workers that serve, as the list says, and how many of ours each holds.
+    serving: Vec<WorkerId>,
+    states: FxHashMap<WorkerId, WorkerState>,
+    held: FxHashMap<WorkerId, u32>,
+    open: FxHashMap<RequestId, Held>,
+    next: usize,
+}
+
+struct Held {
+    class: u32,
+    /// Where each attempt went, and how it ended.
+    attempts: Vec<(WorkerId, Option<Outcome>)>,
+}
+
+impl Reference {
+    fn new(kind: RouterKind, settings: Settings, seed: u64) -> Reference {
+        Reference {
+            kind,
+            settings,
+            rng: stream(seed, 9),
+            serving: Vec::new(),
+            states: FxHashMap::default(),
+            held: FxHashMap::default(),
+            open: FxHashMap::default(),
+            next: 0,
+        }
+    }
+
+    fn held(&self, worker: WorkerId) -> u32 {
+        self.held.get(&worker).copied().unwrap_or_default()
+    }
+
+    fn choose(&mut self, request: RequestId, sight: &dyn Sight) -> Option<WorkerId> {
+        let tried: Vec<WorkerId> =
+            self.open.get(&request).map(|o| o.attempts.iter().map(|(w, _)| *w).collect()).unwrap_or_default();
+        let all: Vec<WorkerId> = self.serving.iter().copied().filter(|w| !tried.contains(w)).collect();
+        if all.is_empty() {
+            return None;
+        }
+        let any = |rng: &mut Pcg64Mcg| all[rng.random_range(0..all.len())];
+        Some(match self.kind {
+            RouterKind::RoundRobin => {
+                self.next += 1;
+                all[self.next % all.len()]
+            }
+            RouterKind::LeastOutstanding => {
+                let least = all.iter().map(|w| self.held(*w)).min()?;
+                let equals: Vec<WorkerId> = all.iter().copied().filter(|w| self.held(*w) == least).collect();
+                equals[self.rng.random_range(0..equals.len())]
+            }
+            RouterKind::PowerOfTwo => {
+                let (a, b) = (any(&mut self.rng), any(&mut self.rng));
+                if self.held(a) <= self.held(b) {
+                    a
+                } else {
+                    b
+                }
+            }
+            RouterKind::Oracle => {
+                let ends = all.iter().filter_map(|w| sight.foresee(*w, request).map(|end| (end, *w)));
+                let (end, worker) = ends.min_by(|a, b| a.0.total_cmp(&b.0))?;
+                // What will be late would only make others late.
+                return (end <= sight.left(request)).then_some(worker);
+            }
+            _ => any(&mut self.rng),
+        })
+    }
+
+    fn push(&mut self, request: RequestId, actions: &mut Vec<Action>, sight: &dyn Sight) {
+        let choice = self.choose(request, sight);
+        let Some(held) = self.open.get_mut(&request) else { return };
+        let most = self.settings.max_attempts.max(1) as usize;
+        match choice.filter(|_| held.attempts.len() < most) {
+            Some(worker) => {
+                held.attempts.push((worker, None));
+                *self.held.entry(worker).or_default() += 1;
+                actions.push(Action::Send { request, worker, timeout: None });
+            }
+            None => {
+                let harmless = held.attempts.iter().all(|(_, end)| end.is_some_and(Outcome::never_ran))
+                    || self.repeat(request) == Repeat::Safe;
+                self.open.remove(&request);
+                let wait = self.settings.max_retry_after.min(0.3);
+                actions.push(match harmless {
+                    true => Action::Refuse { request, retry_after: Some(wait) },
+                    false => Action::Fail { request },
+                });
+            }
+        }
+    }
+
+    fn repeat(&self, request: RequestId) -> Repeat {
+        let class = self.open.get(&request).map_or(0, |open| open.class as usize);
+        self.settings.classes.get(class).map_or(Repeat::Unsafe, |class| class.repeat)
+    }
+
+    fn on_list(&mut self, scope: Scope, members: &[Member]) {
+        if matches!(scope, Scope::Full | Scope::Saved) {
+            self.states.clear();
+        }
+        for member in members {
+            self.states.insert(member.worker, member.state);
+        }
+        self.serving =
+            self.states.iter().filter(|(_, s)| **s == WorkerState::Serving).map(|(w, _)| *w).collect();
+        self.serving.sort_unstable();
+    }
+}
+
+impl Router for Reference {
+    fn start(&mut self, _: Seconds, _: &mut Vec<Action>) {}
+
+    fn on_event(&mut self, _: Seconds, event: Event<'_>, actions: &mut Vec<Action>, sight: &dyn Sight) {
+        match event {
+            Event::Request(Request { id, class, .. }) => {
+                self.open.insert(id, Held { class, attempts: Vec::new() });
+                self.push(id, actions, sight);
+            }
+            Event::Ended { request, attempt, outcome, complete, .. } => {
+                let Some(held) = self.open.get_mut(&request) else { return };
+                let Some((worker, end)) = held.attempts.get_mut(attempt as usize) else { return };
+                let worker = *worker;
+                *end = Some(outcome);
+                if let Some(count) = self.held.get_mut(&worker) {
+                    *count = count.saturating_sub(1);
+                }
+                let expired = outcome == Outcome::Timeout;
+                if complete {
+                    self.open.remove(&request);
+                } else if !expired && (outcome.never_ran() || self.repeat(request) == Repeat::Safe) {
+                    self.push(request, actions, sight);
+                } else {
+                    self.open.remove(&request);
+                    actions.push(Action::Fail { request });
+                }
+            }
+            Event::ClientGone(id) => {
+                if let Some(held) = self.open.remove(&id) {
+                    for (n, (worker, end)) in held.attempts.iter().enumerate() {
+                        if end.is_none() {
+                            if let Some(count) = self.held.get_mut(worker) {
+                                *count = count.saturating_sub(1);
+                            }
+                            actions.push(Action::Cancel { request: id, attempt: n as u32 });
+                        }
+                    }
+                }
+            }
+            Event::List { scope, members } => self.on_list(scope, members),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/virtual_time/mod.rs
@@ -0,0 +1,18 @@
+//! The drive in virtual time: one queue of events, no clock, no threads. The same day and router give the same run.
+
+mod world;
+
+use crate::day::Day;
+use crate::figures::Record;
+use crate::router::Router;
+use crate::spec::{Arm, Experiment};
+
+/// Plays a day with an arm's routers; `make` makes one for a dispatcher's number, its settings and its seed.
+pub fn play(
+    experiment: &Experiment,
+    arm: &Arm,
+    day: &Day,
+    make: &dyn Fn(cairncrank_core::Settings, u64) -> Box<dyn Router>,
+) -> Record {
+    world::World::new(experiment, arm, day, make).run()
+}
