--- a/crates/cairncrank-core/src/api.rs
+++ b/crates/cairncrank-core/src/api.rs
@@ -80,6 +80,15 @@
     Probes,
 }
 
+/// How room is held for large jobs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomSettings {
+    /// Jobs of so many slots and more are large.
+    pub from: f64,
+    /// The price of a worker that is kept for jobs of the other size, in waits as long as a job's own run.
+    pub price: f64,
+}
+
 /// What a dispatcher is told when it starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -127,6 +136,8 @@
     pub cross_zone_price: f64,
     /// The finest step of the caller's clock.
     pub resolution: Seconds,
+    /// Room for large jobs; none where it is not held.
+    pub room: Option<RoomSettings>,
 }
 
 impl Default for Settings {
@@ -154,6 +165,7 @@
             fall_span: 1.0,
             cross_zone_price: 0.0,
             resolution: 0.001,
+            room: None,
         }
     }
 }
--- a/crates/cairncrank-core/src/lib.rs
+++ b/crates/cairncrank-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 mod estimate;
 pub mod policy;
+mod room;
 pub mod settings;
 mod state;
 
--- a/crates/cairncrank-core/src/policy/list.rs
+++ b/crates/cairncrank-core/src/policy/list.rs
@@ -41,5 +41,6 @@
             self.fleet.enlist(m, kind, self.now);
         }
         self.fleet.rebuild(self.cfg.zone);
+        self.room.divide(&self.fleet.workers);
     }
 }
--- a/crates/cairncrank-core/src/policy/mod.rs
+++ b/crates/cairncrank-core/src/policy/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::api::*;
 use crate::estimate::{Runs, LEARN_CLASS, LEARN_WORKER};
+use crate::room::Room;
 use crate::state::*;
 
 /// Learning rates of moving averages: of the slots of a kind from the largest figures seen, and of what is
@@ -51,8 +52,6 @@
     banks: Vec<Bank>,
     accrued: Seconds,
     rate: Rate,
-    /// Requests a second that the tenants were promised, over all dispatchers.
-    promised: f64,
     runs: Vec<Runs>,
     kinds: Vec<Kind>,
     largest: i64,
@@ -62,6 +61,7 @@
     copies: f64,
     waits: Seconds,
     fleet: Fleet,
+    room: Room,
     keys: Keys,
     /// The part of a worker's slots that others usually hold.
     usual: f64,
@@ -85,15 +85,13 @@
         cfg.instances = cfg.instances.max(1);
         let banks = Bank::of_tenants(&cfg.tenants, &mut rng);
         let runs = vec![Runs::default(); cfg.classes.len()];
-        let quota = cfg.promised();
-        let first = quota / f64::from(cfg.instances);
+        let first = cfg.promised() / f64::from(cfg.instances);
         Dispatcher {
             rng,
             now: 0.0,
             banks,
             accrued: 0.0,
             rate: Rate { slots_per_s: FIRST_RATE * first.max(1.0), served: first, ..Rate::default() },
-            promised: quota,
             runs,
             kinds: Vec::new(),
             largest: 1,
@@ -101,6 +99,7 @@
             copies: COPIES_SAVED,
             waits: 0.0,
             fleet: Fleet::default(),
+            room: Room::new(cfg.room),
             keys: Keys::default(),
             usual: 0.0,
             jobs: FxHashMap::default(),
@@ -172,10 +171,11 @@
                 None => self.banks.push(new),
             }
         }
-        self.promised = cfg.promised();
+        self.room.configure(cfg.room);
         self.cfg = cfg;
         self.size_banks();
         self.fleet.rebuild(self.cfg.zone);
+        self.room.divide(&self.fleet.workers);
     }
 
     fn wake(&mut self, after: Seconds, what: Wake) {
--- a/crates/cairncrank-core/src/policy/rate.rs
+++ b/crates/cairncrank-core/src/policy/rate.rs
@@ -35,7 +35,7 @@
             part = part.min(if quota > 0.0 { b.asked / quota } else { 1.0 });
         }
         let part = part.max(1.0 / f64::from(self.cfg.instances));
-        let promise = self.promised * part * slots;
+        let promise = self.cfg.promised() * part * slots;
         let r = &mut self.rate;
         r.served += LEARN_SERVED * (r.taken / window - r.served);
         let sent = r.taken + r.bounced;
--- a/crates/cairncrank-core/src/policy/throttle.rs
+++ b/crates/cairncrank-core/src/policy/throttle.rs
@@ -62,6 +62,7 @@
         }
         self.accrue();
         self.slots += LEARN_CLASS * (k as f64 - self.slots);
+        self.room.asked(k as f64, k as f64 * self.runs[class].mean, &self.fleet.workers);
         if let Some(key) = req.key {
             self.keys.ask(key, self.now);
         }
--- a/crates/cairncrank-core/src/policy/workers.rs
+++ b/crates/cairncrank-core/src/policy/workers.rs
@@ -44,7 +44,8 @@
 
     /// When a job would be done there, in seconds from now, with prices as time; lower is better. Also
     /// whether it would start at once, as far as is known.
-    fn cost(&self, w: &Worker, job: &Job) -> (f64, bool) {
+    fn cost(&self, i: usize, job: &Job) -> (f64, bool) {
+        let w = &self.fleet.workers[i];
         let run = self.runs[job.req.class as usize].log.exp();
         let pace = (self.kinds[w.kind].pace + w.pace).exp() / self.warmth(w);
         let slots = self.slots_of(w);
@@ -52,7 +53,7 @@
         let crossing = if w.zone == self.cfg.zone { 0.0 } else { CROSSING * self.cfg.cross_zone_price * run };
         let waits = WAIT_COSTS * (filled - 1.0).max(0.0) + DOUBT * filled.min(2.0).powi(2);
         let fresh = !self.may_look() || self.now - w.told < FRESH * self.window();
-        (run * pace * (1.0 + waits) + crossing, filled <= 1.0 && fresh)
+        (run * pace * (1.0 + waits + self.room.price(i, job.slots as f64)) + crossing, filled <= 1.0 && fresh)
     }
 
     fn usable(&self, i: usize, job: &Job) -> bool {
@@ -72,7 +73,7 @@
 
     pub(super) fn consider(&mut self, i: usize, job: &Job, best: &mut Best) {
         if self.usable(i, job) {
-            let (cost, free) = self.cost(&self.fleet.workers[i], job);
+            let (cost, free) = self.cost(i, job);
             let cost = cost * (1.0 + 0.01 * self.rng.f64());
             if best.is_none_or(|(b, _, _)| cost < b) {
                 *best = Some((cost, i, free));
--- a/crates/cairncrank-core/src/settings.rs
+++ b/crates/cairncrank-core/src/settings.rs
@@ -205,5 +205,6 @@
         fall_span: pairs.size("obligations.tip-after-s", d.fall_span)?,
         cross_zone_price: pairs.size("charges.cross-zone", d.cross_zone_price)?,
         resolution: pairs.size("resolution-s", d.resolution)?,
+        room: d.room,
     })
 }
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use cairncrank_lab::report::{compare, Results};
-use cairncrank_lab::run::virtual_runs;
+use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
 use clap::{Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -36,6 +36,12 @@
         /// What plays it.
         #[arg(long, value_enum, default_value_t = Drive::Virtual)]
         drive: Drive,
+        /// With the drive over sockets: the program; else the one beside this tool.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// With the drive over sockets: days side by side.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
+        at_once: u16,
     },
     /// Shows what changed from one folder of results to another.
     Compare {
@@ -56,6 +62,8 @@
 enum Drive {
     /// Discrete events, no clock.
     Virtual,
+    /// The real program on loopback, in real time.
+    Sockets,
 }
 
 fn read(file: &Path) -> Result<Experiment, String> {
@@ -63,8 +71,25 @@
     spec::read(&file.display().to_string(), &text).map_err(|fault| fault.to_string())
 }
 
-fn run(file: &Path, first: u64, count: u64, out: &Path, drive: Drive) -> Result<(), String> {
-    let experiment = read(file)?;
+/// The program that stands beside this tool.
+fn beside() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let program = own.with_file_name(format!("cairncrank{}", std::env::consts::EXE_SUFFIX));
+    match program.is_file() {
+        true => Ok(program),
+        false => Err(format!("--program: there is no {}; build it, or name another", program.display())),
+    }
+}
+
+fn run(
+    file: &Path,
+    (first, count): (u64, u64),
+    out: &Path,
+    drive: Drive,
+    program: Option<PathBuf>,
+    at_once: u16,
+) -> Result<(), String> {
+    let mut experiment = read(file)?;
     let last = first.checked_add(count - 1).ok_or("--seed: no room for so many seeds after it")?;
     let seeds: Vec<u64> = (first..=last).collect();
     let runs = experiment.cases.len() * experiment.arms.len() * seeds.len();
@@ -73,11 +98,20 @@
         bar.set_style(style);
     }
     let start = Instant::now();
-    let runs = match drive {
-        Drive::Virtual => virtual_runs(&experiment, &seeds, &bar),
+    let (runs, drive) = match drive {
+        Drive::Virtual => (virtual_runs(&experiment, &seeds, &bar), "virtual"),
+        Drive::Sockets => {
+            let program = program.map_or_else(beside, Ok)?;
+            let played = socket_runs(&mut experiment, &seeds, &program, at_once.into(), &bar);
+            let (runs, left_out) = played.map_err(|error| error.to_string())?;
+            if !left_out.is_empty() {
+                eprintln!("left out, for they are not the program's: {}", left_out.join(", "));
+            }
+            (runs, "sockets")
+        }
     };
     bar.finish_and_clear();
-    let results = Results::of(&experiment, "virtual", &seeds, &runs);
+    let results = Results::of(&experiment, drive, &seeds, &runs);
     results.write(out).map_err(|error| format!("{}: {error}", out.display()))?;
     print!("{}", results.table());
     let events: u64 = runs.iter().map(|run| run.figures.events).sum();
@@ -113,7 +147,9 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { file, seed, seeds, out, drive } => run(&file, seed, seeds, &out, drive),
+        Command::Run { file, seed, seeds, out, drive, program, at_once } => {
+            run(&file, (seed, seeds), &out, drive, program, at_once)
+        }
         Command::Compare { before, after } => results(&before).and_then(|before| {
             let after = results(&after)?;
             print!("{}", compare(&before, &after));
--- a/crates/cairncrank-lab/src/run.rs
+++ b/crates/cairncrank-lab/src/run.rs
@@ -1,13 +1,17 @@
 //! Runs an experiment: every arm on every case by every seed, on all cores. Runs share nothing, so the results are
 //! the same however they are spread over threads.
 
+use std::io;
+use std::path::Path;
+
 use indicatif::ProgressBar;
 use rayon::prelude::*;
 
 use crate::day::Day;
 use crate::figures::Figures;
 use crate::router::router;
-use crate::spec::Experiment;
+use crate::sockets;
+use crate::spec::{Arm, Experiment, RouterKind};
 use crate::virtual_time;
 
 /// One arm on one day.
@@ -44,3 +48,42 @@
         .collect();
     runs.into_iter().flatten().collect()
 }
+
+/// Plays an experiment over sockets, in real time, so many days side by side. Only arms of the real program can be
+/// played so; the others are left out of the experiment, and named in the result.
+///
+/// # Errors
+/// The program does not start, or a socket cannot be opened.
+pub fn socket_runs(
+    experiment: &mut Experiment,
+    seeds: &[u64],
+    program: &Path,
+    at_once: usize,
+    done: &ProgressBar,
+) -> io::Result<(Vec<Run>, Vec<String>)> {
+    let (own, others): (Vec<Arm>, Vec<Arm>) =
+        experiment.arms.drain(..).partition(|arm| arm.router == RouterKind::Cairncrank);
+    experiment.arms = own;
+    let left_out = others.into_iter().map(|arm| arm.name).collect();
+    let mut all = Vec::new();
+    for case in 0..experiment.cases.len() {
+        for seed in seeds {
+            // Arms on the same day one after the other: they share the machine alike.
+            all.extend((0..experiment.arms.len()).map(|arm| (arm, case, *seed)));
+        }
+    }
+    let pool =
+        rayon::ThreadPoolBuilder::new().num_threads(at_once.max(1)).build().map_err(io::Error::other)?;
+    let experiment: &Experiment = experiment;
+    let runs: io::Result<Vec<Run>> = pool.install(|| {
+        all.par_iter()
+            .map(|&(arm, case, seed)| {
+                let day = Day::draw(experiment, &experiment.cases[case], seed);
+                let record = sockets::play(experiment, &experiment.arms[arm], &day, program)?;
+                done.inc(1);
+                Ok(Run { arm, case, seed, figures: Figures::judge(experiment, &day, &record) })
+            })
+            .collect()
+    });
+    Ok((runs?, left_out))
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/sockets/worker.rs
@@ -0,0 +1,261 @@
+//! Workers on sockets: the model of [`crate::standin::worker`] behind listeners.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rand::Rng as _;
+use rand_distr::{Distribution as _, LogNormal};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use super::http::{self, chunk, CHUNKED, LAST_CHUNK};
+use super::{Attempt, World};
+use crate::day::{micros, Micros};
+use crate::standin::worker::{Fall, Note, Phase, Task};
+
+/// Opens a worker's listeners, one for each dispatcher, and drives its model until its process ends.
+pub(super) async fn serve(world: &World, w: usize) -> io::Result<()> {
+    let hosts = world.borrow().agents.len();
+    let mut ports = Vec::new();
+    for host in 0..hosts {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        ports.push(listener.local_addr()?.port());
+        spawn_local(listen(world.clone(), w, host, listener));
+    }
+    world.borrow_mut().ports[w] = ports;
+    spawn_local(drive(world.clone(), w));
+    Ok(())
+}
+
+/// Wakes the model when it is due.
+async fn drive(world: World, w: usize) {
+    let process = world.borrow().processes[w];
+    let due = world.borrow().due[w].clone();
+    while world.borrow().processes[w] == process {
+        let next = {
+            let shared = world.borrow();
+            shared.workers[w].next().map(|at| shared.instant(at))
+        };
+        let sleep = async {
+            match next {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due.notified() => {}
+            () = sleep => {
+                if world.borrow().processes[w] == process {
+                    world.borrow_mut().with_worker(w, |worker, now, notes| worker.wake(now, notes));
+                }
+            }
+        }
+    }
+}
+
+async fn listen(world: World, w: usize, host: usize, listener: TcpListener) {
+    let process = world.borrow().processes[w];
+    let ended = world.borrow().ended[w].clone();
+    loop {
+        let stream = tokio::select! {
+            () = ended.notified() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => continue,
+            },
+        };
+        if world.borrow().processes[w] != process {
+            return;
+        }
+        {
+            let mut shared = world.borrow_mut();
+            if shared.connections[w] >= shared.workers[w].plan.connections {
+                continue;
+            }
+            shared.connections[w] += 1;
+            shared.record.connects += 1;
+        }
+        let (world, ended) = (world.clone(), ended.clone());
+        spawn_local(async move {
+            tokio::select! {
+                // The process ends, and its connections with it.
+                () = ended.notified() => {}
+                _ = connection(&world, w, host, stream) => {}
+            }
+            let count = &mut world.borrow_mut().connections[w];
+            *count = count.saturating_sub(1);
+        });
+    }
+}
+
+/// Serves the requests of a connection, one at a time.
+async fn connection(world: &World, w: usize, host: usize, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (way, shake, idle) = {
+        let shared = world.borrow();
+        let net = &shared.day.network;
+        let way = shared.way(host, w);
+        (way, 2 * way.mul_f64(net.handshake_rtts) + Duration::from_micros(micros(net.handshake)), net.idle)
+    };
+    tokio::time::sleep(shake).await;
+    let mut buffer = BytesMut::with_capacity(4096);
+    loop {
+        let mut first: Option<Micros> = None;
+        let begins = http::head(&mut stream, &mut buffer, true, || first = Some(world.borrow().now()));
+        let Ok(head) = tokio::time::timeout(Duration::from_micros(idle), begins).await else { return Ok(()) };
+        let Some(head) = head? else { return Ok(()) };
+        let _ = http::body(&mut stream, &mut buffer, &head).await?;
+        // The last byte has come: from here on it counts.
+        let begun = first.unwrap_or_else(|| world.borrow().now());
+        let id = head.get("request-id").and_then(|id| u64::from_str_radix(id, 16).ok()).unwrap_or(0);
+        let Some((n, mut notes)) = sent(world, w, host, id, begun) else {
+            stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+            continue;
+        };
+        tokio::time::sleep(way).await;
+        reach(world, w, host, n);
+        let mut called_off = CallOff { world, w, n, over: false };
+        if !answer(world, w, &mut stream, &mut buffer, id, way, &mut notes).await? {
+            return Ok(());
+        }
+        called_off.over = true;
+    }
+}
+
+/// An attempt whose connection is closed is given up.
+struct CallOff<'a> {
+    world: &'a World,
+    w: usize,
+    n: usize,
+    over: bool,
+}
+
+impl Drop for CallOff<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            let n = self.n;
+            self.world.borrow_mut().with_worker(self.w, |worker, now, notes| {
+                worker.cancel(n, now, notes);
+            });
+        }
+    }
+}
+
+/// Notes a request that came whole, for the checker.
+fn sent(
+    world: &World,
+    w: usize,
+    host: usize,
+    id: u64,
+    begun: Micros,
+) -> Option<(usize, mpsc::UnboundedReceiver<Note>)> {
+    let mut shared = world.borrow_mut();
+    let job = *shared.tries.get(usize::try_from(id.checked_sub(1)?).ok()?)?;
+    let place = (shared.workers[w].plan.zone, shared.workers[w].plan.rack);
+    let life = shared.life(host);
+    let send = shared.checker.sent(life, id, w as u64, place, begun);
+    shared.record.sends += 1;
+    shared.record.crossings += u64::from(place.0 != shared.day.dispatchers[host].zone);
+    shared.record.admitted[job as usize] = true;
+    let (sender, notes) = mpsc::unbounded_channel();
+    shared.attempts.push(Attempt { notes: sender, request: id, job, send, run: None });
+    Some((shared.attempts.len() - 1, notes))
+}
+
+/// The request reaches the model.
+fn reach(world: &World, w: usize, host: usize, n: usize) {
+    let mut guard = world.borrow_mut();
+    let shared = &mut *guard;
+    if shared.workers[w].phase == Phase::Ended {
+        return;
+    }
+    let job = &shared.day.jobs[shared.attempts[n].job as usize];
+    let cv = shared.day.noise[job.class as usize];
+    let noise = LogNormal::new(-cv * cv / 2.0, cv).map_or(1.0, |noise| noise.sample(&mut shared.rng));
+    let fails = shared.rng.random_bool(shared.workers[w].plan.errors);
+    let since = shared.workers[w].since;
+    let informed = shared.agents[host].lines.get(&w).is_some_and(|line| line.since >= since);
+    let task = Task {
+        attempt: n,
+        slots: job.slots,
+        work: job.work * noise,
+        usual: shared.day.means[job.class as usize] * f64::from(job.slots),
+        fails,
+        informed,
+    };
+    let rules = &shared.experiment.rules;
+    let fall = Fall { multiple: rules.fall_multiple, span: micros(rules.fall) };
+    let mut fallen = None;
+    shared.with_worker(w, |worker, now, notes| fallen = worker.take(task, now, fall, notes));
+    if let Some(fallen) = fallen {
+        shared.checker.fell_over(fallen.by_informed);
+        shared.kill_worker(w);
+        let silent = shared.day.discovery.silent;
+        drop(guard);
+        super::publish(world, w, "terminated", silent);
+    }
+}
+
+/// Writes what the worker says of an attempt; false where the connection is of no more use.
+async fn answer(
+    world: &World,
+    w: usize,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    id: u64,
+    way: Duration,
+    notes: &mut mpsc::UnboundedReceiver<Note>,
+) -> io::Result<bool> {
+    let mut begun = false;
+    loop {
+        let note = tokio::select! {
+            note = notes.recv() => note,
+            // Nothing is sent while an answer is awaited: what comes is the end.
+            end = readable(stream) => { end?; None }
+        };
+        let Some(note) = note else { return Ok(false) };
+        tokio::time::sleep(way).await;
+        let line = |state: &str, more: &str| {
+            format!("{{\"id\":\"{id:016x}\",\"from\":\"w-{w}\",\"state\":\"{state}\"{more}}}")
+        };
+        let (line, last) = match note {
+            Note::Started(_) => (line("started", ""), false),
+            Note::Running(_, share) => (line("running", &format!(",\"share\":{share:.3}")), false),
+            Note::Done(_) => (line("done", &format!(",\"result\":\"{id:016x} by w-{w}\"")), true),
+            Note::Failed(_) => (line("failed", ""), true),
+            Note::Returned(n) => {
+                let mut shared = world.borrow_mut();
+                let (request, send) = (shared.attempts[n].request, shared.attempts[n].send);
+                shared.checker.never_ran(request, send);
+                (line("returned", ""), true)
+            }
+            Note::Lost(_) => return Ok(false),
+        };
+        let mut message = Vec::new();
+        if !std::mem::replace(&mut begun, true) {
+            message.extend_from_slice(CHUNKED);
+        }
+        message.extend_from_slice(&chunk(&line));
+        if last {
+            message.extend_from_slice(LAST_CHUNK);
+        }
+        stream.write_all(&message).await?;
+        if last {
+            return Ok(buffer.is_empty());
+        }
+    }
+}
+
+/// Waits until the other side ends the connection or sends what it should not.
+async fn readable(stream: &TcpStream) -> io::Result<()> {
+    stream.readable().await?;
+    let mut byte = [0];
+    match stream.try_read(&mut byte) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => std::future::pending().await,
+        Err(error) => Err(error),
+        Ok(_) => Ok(()),
+    }
+}
--- a/crates/cairncrank-lab/src/spec.rs
+++ b/crates/cairncrank-lab/src/spec.rs
@@ -4,7 +4,7 @@
 //! labelled blocks (kinds, classes, tenants) is taken from there whole. What still is a span of figures is drawn for
 //! each day by [`crate::day`].
 
-use cairncrank_core::api::{Group, Repeat};
+use cairncrank_core::api::{Group, Repeat, RoomSettings};
 use cairncrank_hcl::{Read, Section, Value};
 
 /// The figures that hold where an experiment says nothing.
@@ -176,6 +176,8 @@
     pub attempts: Option<u32>,
     /// Second copies are allowed.
     pub copies: bool,
+    /// Room for large jobs.
+    pub room: Option<RoomSettings>,
 }
 
 /// An experiment.
@@ -622,6 +624,13 @@
         quota: s.number("quota", 0.0..=100.0)?.unwrap_or(1.0),
         attempts: s.whole("attempts", 1..=100)?.map(|attempts| attempts as u32),
         copies: s.flag("copies")?.unwrap_or(true),
+        room: match s.section("room")? {
+            None => None,
+            Some(room) => Some(RoomSettings {
+                from: room.number("from_slots", 2.0..=1024.0)?.unwrap_or(4.0),
+                price: room.number("price", 0.0..=1000.0)?.unwrap_or(1.0),
+            }),
+        },
     })
 }
 
--- a/crates/cairncrank-lab/src/virtual_time/world.rs
+++ b/crates/cairncrank-lab/src/virtual_time/world.rs
@@ -464,6 +464,7 @@
             fall_span: rules.fall,
             cross_zone_price: rules.cross_zone_price,
             resolution: RESOLUTION,
+            room: self.arm.room,
             ..Settings::default()
         }
     }
