Read our own settings from HCL, and tell where the lab's worth was lost

The lab splits lost worth into refused, failed, held, queued and slow, and hands an arm's room to the real program.

--- a/crates/cairncrank-lab/src/figures.rs
+++ b/crates/cairncrank-lab/src/figures.rs
@@ -71,11 +71,28 @@
     pub to: Micros,
 }
 
+/// Why a job earned less than its worth, in parts of the worth asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lost {
+    /// Refused.
+    pub refused: f64,
+    /// Failed, or had no answer.
+    pub failed: f64,
+    /// Late, and would have been in time had it not waited at its dispatcher.
+    pub held: f64,
+    /// Late, and would have been in time had it not waited at a worker.
+    pub queued: f64,
+    /// Late by its run alone: a slow worker, or more work than the job was thought to be.
+    pub slow: f64,
+}
+
 /// What a drive hands over of a day.
 #[derive(Debug, Default)]
 pub struct Record {
     /// How each job ended.
     pub ends: Vec<Option<End>>,
+    /// When each job was first sent to a worker.
+    pub sent: Vec<Option<Micros>>,
     /// Whether each job was let in: it was not turned away on arrival.
     pub admitted: Vec<bool>,
     /// What ran.
@@ -127,6 +144,8 @@
     pub large_late: u64,
     /// See there.
     pub large_starved: u64,
+    /// Why worth was lost.
+    pub lost: Lost,
     /// Breaches of the rules.
     pub rules: Breaches,
     /// Jobs, tries, sends, new connections and events.
@@ -151,6 +170,8 @@
         let mut lateness = Histogram::<u64>::new_with_max(LONGEST_LATE, 3).ok();
         let (mut late, mut refused, mut failed, mut late_fails) = (0u64, 0u64, 0u64, 0u64);
         let mut late_large = Vec::new();
+        let mut last_run: Vec<Option<&Ran>> = vec![None; day.jobs.len()];
+        record.ran.iter().for_each(|ran| last_run[ran.job as usize] = Some(ran));
         for (n, job) in day.jobs.iter().enumerate() {
             let class = &experiment.traffic.classes[job.class as usize];
             let wanted = job.at + wanted(experiment, day, n);
@@ -181,6 +202,25 @@
                 }
                 _ => failed += 1,
             }
+            let short = job.worth - earned;
+            match end {
+                Some(End::Served(_)) if short > 0.0 => {
+                    let run = last_run[n].map_or(0, |ran| ran.to.saturating_sub(ran.from));
+                    let sent = record.sent.get(n).copied().flatten().unwrap_or(job.at);
+                    let queued = last_run[n].map_or(0, |ran| ran.from.saturating_sub(sent));
+                    let by = wanted - job.at;
+                    let why = if run > by {
+                        &mut f.lost.slow
+                    } else if run + queued > by {
+                        &mut f.lost.queued
+                    } else {
+                        &mut f.lost.held
+                    };
+                    *why += short;
+                }
+                Some(End::Refused(_)) => f.lost.refused += short,
+                _ => f.lost.failed += short,
+            }
             let large = job.slots >= experiment.large_slots;
             f.all.add(job.worth, earned);
             if large { &mut f.large } else { &mut f.small }.add(job.worth, earned);
@@ -198,6 +238,11 @@
                 }
             }
         }
+        let asked = f.all.asked.max(1e-9);
+        let lost = &mut f.lost;
+        for why in [&mut lost.refused, &mut lost.failed, &mut lost.held, &mut lost.queued, &mut lost.slow] {
+            *why /= asked;
+        }
         let jobs = (f.jobs as f64).max(1.0);
         (f.late, f.refused, f.failed) = (late as f64 / jobs, refused as f64 / jobs, failed as f64 / jobs);
         f.late_p99_ms = lateness.map_or(0.0, |l| l.value_at_quantile(0.99) as f64);
--- a/crates/cairncrank-lab/src/report.rs
+++ b/crates/cairncrank-lab/src/report.rs
@@ -10,7 +10,7 @@
 use statrs::distribution::{ContinuousCDF as _, StudentsT};
 
 use crate::checker::Breaches;
-use crate::figures::Figures;
+use crate::figures::{Figures, Lost};
 use crate::run::Run;
 use crate::spec::Experiment;
 
@@ -81,6 +81,8 @@
     pub late_p99_ms: Mean,
     /// Sends for each job.
     pub sends: Mean,
+    /// Why worth was lost, in parts of the worth asked for: means over the runs.
+    pub lost: Lost,
     /// Large jobs that were let in and starved.
     pub large_starved: u64,
     /// Breaches of the rules.
@@ -166,6 +168,13 @@
                     failed: mean(&runs, |f| f.failed),
                     late_p99_ms: mean(&runs, |f| f.late_p99_ms),
                     sends: mean(&runs, |f| f.sends as f64 / (f.jobs as f64).max(1.0)),
+                    lost: Lost {
+                        refused: mean(&runs, |f| f.lost.refused).mean,
+                        failed: mean(&runs, |f| f.lost.failed).mean,
+                        held: mean(&runs, |f| f.lost.held).mean,
+                        queued: mean(&runs, |f| f.lost.queued).mean,
+                        slow: mean(&runs, |f| f.lost.slow).mean,
+                    },
                     large_starved: runs.iter().map(|run| run.figures.large_starved).sum(),
                     rules: breaches(&runs),
                     goal_by_seed: runs.iter().map(|run| run.figures.goal).collect(),
@@ -272,6 +281,17 @@
                     case.rules.failback,
                 );
             }
+            text.push_str("\nWorth lost, in parts of the worth asked for: refused, failed, late after a wait at the dispatcher (held)\n");
+            text.push_str("or at a worker (queued), late by the run alone (slow).\n\n");
+            text.push_str("| arm | refused | failed | held | queued | slow |\n|---|---|---|---|---|---|\n");
+            for arm in &self.arms {
+                let Lost { refused, failed, held, queued, slow } = arm.cases[n].lost;
+                let name = &arm.name;
+                let _ = writeln!(
+                    text,
+                    "| {name} | {refused:.3} | {failed:.3} | {held:.3} | {queued:.3} | {slow:.3} |"
+                );
+            }
             text.push('\n');
         }
         text
--- a/crates/cairncrank-lab/src/sockets/mod.rs
+++ b/crates/cairncrank-lab/src/sockets/mod.rs
@@ -222,7 +222,12 @@
         attempts: Vec::new(),
         tries: Vec::new(),
         checker: Checker::new(limits),
-        record: Record { ends: vec![None; jobs], admitted: vec![false; jobs], ..Record::default() },
+        record: Record {
+            ends: vec![None; jobs],
+            admitted: vec![false; jobs],
+            sent: vec![None; jobs],
+            ..Record::default()
+        },
         rng: stream(day.seed, 5),
         notes: Vec::new(),
         open: 0,
--- a/crates/cairncrank-lab/src/sockets/program.rs
+++ b/crates/cairncrank-lab/src/sockets/program.rs
@@ -29,6 +29,9 @@
 pub(super) struct Program {
     path: PathBuf,
     config: PathBuf,
+    /// Our own settings, and what stands in them.
+    own: PathBuf,
+    own_text: String,
     host: usize,
     settings: Value,
     discovery: u16,
@@ -47,7 +50,12 @@
         let file = format!("cairncrank-lab-{}-{listen}.json", std::process::id());
         let config = std::env::temp_dir().join(file);
         let settings = settings(world, arm, host);
-        Ok(Program { path: path.to_owned(), config, host, settings, discovery, child: None })
+        let own = config.with_extension("hcl");
+        let own_text = match arm.room {
+            Some(room) => format!("room {{\n  from_slots = {}\n  price = {}\n}}\n", room.from, room.price),
+            None => "room {\n  hold = false\n}\n".to_owned(),
+        };
+        Ok(Program { path: path.to_owned(), config, own, own_text, host, settings, discovery, child: None })
     }
 
     /// Starts the process with the list as its agent has it.
@@ -65,10 +73,13 @@
             "settings": self.settings,
         });
         std::fs::write(&self.config, config.to_string())?;
+        std::fs::write(&self.own, &self.own_text)?;
         let child = Command::new(&self.path)
             .arg("serve")
             .arg("--config")
             .arg(&self.config)
+            .arg("--settings")
+            .arg(&self.own)
             .env_remove("BALANCER_NAME")
             .env_remove("BALANCER_LISTEN")
             .env_remove("BALANCER_DISCOVERY")
@@ -121,6 +132,7 @@
             let _ = child.wait();
         }
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.own);
     }
 }
 
--- a/crates/cairncrank-lab/src/sockets/worker.rs
+++ b/crates/cairncrank-lab/src/sockets/worker.rs
@@ -160,6 +160,8 @@
     shared.record.sends += 1;
     shared.record.crossings += u64::from(place.0 != shared.day.dispatchers[host].zone);
     shared.record.admitted[job as usize] = true;
+    let first = &mut shared.record.sent[job as usize];
+    *first = first.or(Some(begun));
     let (sender, notes) = mpsc::unbounded_channel();
     shared.attempts.push(Attempt { notes: sender, request: id, job, send, run: None });
     Some((shared.attempts.len() - 1, notes))
--- a/crates/cairncrank-lab/src/spec.rs
+++ b/crates/cairncrank-lab/src/spec.rs
@@ -628,7 +628,7 @@
             None => None,
             Some(room) => Some(RoomSettings {
                 from: room.number("from_slots", 2.0..=1024.0)?.unwrap_or(4.0),
-                price: room.number("price", 0.0..=1000.0)?.unwrap_or(1.0),
+                price: room.number("price", 0.0..=1000.0)?.unwrap_or(16.0),
             }),
         },
     })
--- a/crates/cairncrank-lab/src/virtual_time/world.rs
+++ b/crates/cairncrank-lab/src/virtual_time/world.rs
@@ -181,7 +181,12 @@
             publications: BTreeMap::new(),
             noise,
             checker: Checker::new(limits),
-            record: Record { ends: vec![None; jobs], admitted: vec![false; jobs], ..Record::default() },
+            record: Record {
+                ends: vec![None; jobs],
+                admitted: vec![false; jobs],
+                sent: vec![None; jobs],
+                ..Record::default()
+            },
             coming: 0,
             open: 0,
             notes: Vec::new(),
@@ -646,6 +651,8 @@
         let send = self.checker.sent(life, Self::request(try_no).0, self.ids[w as usize].0, place, self.now);
         self.attempts[n as usize].send = Some(send);
         self.record.sends += 1;
+        let job = self.tries[try_no as usize].job as usize;
+        self.record.sent[job] = self.record.sent[job].or(Some(self.now));
         self.record.crossings += u64::from(place.0 != self.hosts[host as usize].zone);
         let way = self.way(host, w);
         self.at(self.now + way, Happens::Reach(n));
--- a/crates/cairncrank/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform hands over a JSON file (`BALANCER_CONFIG`) and repeats the name and the addresses in variables
 //! of their own, which win. Messages name the faulty key. A file that is read again while the program runs is
-//! taken in whole or not at all, and there `discovery` wins over its variable, which cannot change any more.
+//! taken in whole or not at all (our own settings of `own.rs` with it), and there `discovery` wins over its variable, which cannot change any more.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::engine::{micros, Listed, Micros};
+use crate::own::Own;
 use cairncrank_core::api::{Member, Repeat, Scope, Settings, WorkerState};
 use cairncrank_core::settings::{settings, worker_id, Bad, Pairs};
 
@@ -109,7 +110,9 @@
     /// # Errors
     /// The first key that is missing or faulty.
     pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        Config::read(&Config::text(&var)?, var)
+        let mut config = Config::read(&Config::text(&var)?, &var)?;
+        config.settings.room = Own::find(var)?.room;
+        Ok(config)
     }
 
     /// Reads the file again for a program that runs with this configuration.
@@ -117,7 +120,9 @@
     /// # Errors
     /// The first key that is missing or faulty, or that a running program cannot change.
     pub fn again(&self, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        self.replace(&Config::text(&var)?, var)
+        let mut config = self.replace(&Config::text(&var)?, &var)?;
+        config.settings.room = Own::find(var)?.room;
+        Ok(config)
     }
 
     fn text(var: &impl Fn(&str) -> Option<String>) -> Result<String, ConfigError> {
--- a/crates/cairncrank/src/lib.rs
+++ b/crates/cairncrank/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod engine;
 pub mod log;
 pub mod net;
+pub mod own;
 
 pub use cairncrank_core::{api, Action, Dispatcher, Event, Settings};
--- a/crates/cairncrank/src/main.rs
+++ b/crates/cairncrank/src/main.rs
@@ -5,6 +5,7 @@
 use cairncrank::config::{Config, ConfigError};
 use cairncrank::log;
 use cairncrank::net::{self, signal};
+use cairncrank::own;
 use lexopt::prelude::{Long, Short, Value};
 use lexopt::ValueExt as _;
 use tracing_subscriber::filter::Targets;
@@ -12,12 +13,14 @@
 const USAGE: &str = "\
 cairncrank: a job dispatcher
 
-usage: cairncrank [serve] [--config FILE] [--log LEVELS] [--log-format text|json]    serve jobs (the default)
-       cairncrank check-config [--config FILE]    read the configuration, say what is wrong with it
+usage: cairncrank [serve] [--config FILE] [--settings FILE] [--log LEVELS] [--log-format text|json]    serve jobs
+       cairncrank check-config [--config FILE] [--settings FILE]    read the configuration, say what is wrong with it
        cairncrank version    print the version
 
 The configuration is the file that --config names, or else BALANCER_CONFIG. BALANCER_NAME, BALANCER_LISTEN and
 BALANCER_DISCOVERY win over what it says of them. On SIGHUP the file is read again; there its discovery wins.
+Our own settings are the HCL file that --settings or CAIRNCRANK_SETTINGS names, else cairncrank.hcl beside the
+configuration, else their defaults.
 LEVELS is a level, or levels by target: info (the default), or warn,cairncrank::net=debug.
 ";
 
@@ -35,17 +38,19 @@
 struct Arguments {
     command: Command,
     config: Option<String>,
+    settings: Option<String>,
     levels: Targets,
     format: log::Format,
 }
 
 fn arguments() -> Result<Arguments, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
-    let (mut command, mut config) = (None, None);
+    let (mut command, mut config, mut settings) = (None, None, None);
     let (mut levels, mut format) = (log::usual_levels(), log::Format::default());
     while let Some(argument) = parser.next()? {
         match argument {
             Long("config") => config = Some(parser.value()?.string()?),
+            Long("settings") => settings = Some(parser.value()?.string()?),
             Long("log") => levels = parser.value()?.parse_with(log::levels)?,
             Long("log-format") => format = parser.value()?.parse()?,
             Long("help") | Short('h') => command = Some(Command::Help),
@@ -62,11 +67,11 @@
             other => return Err(other.unexpected()),
         }
     }
-    Ok(Arguments { command: command.unwrap_or(Command::Serve), config, levels, format })
+    Ok(Arguments { command: command.unwrap_or(Command::Serve), config, settings, levels, format })
 }
 
 fn main() -> ExitCode {
-    let Arguments { command, config: file, levels, format } = match arguments() {
+    let Arguments { command, config: file, settings, levels, format } = match arguments() {
         Ok(arguments) => arguments,
         Err(error) => {
             eprint!("cairncrank: {error}\n\n{USAGE}");
@@ -75,6 +80,7 @@
     };
     let variable = move |name: &str| match &file {
         Some(file) if name == "BALANCER_CONFIG" => Some(file.clone()),
+        _ if name == own::VARIABLE && settings.is_some() => settings.clone(),
         _ => std::env::var(name).ok(),
     };
     match command {
--- a/crates/cairncrank/tests/config.rs
+++ b/crates/cairncrank/tests/config.rs
@@ -63,6 +63,11 @@
     assert_eq!((code, out.as_str()), (Some(2), ""));
     assert!(error.contains("'dance'") && error.contains("usage:"), "{error}");
     assert_eq!(cairncrank(&["--loud"]).0, Some(2));
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/cairncrank.hcl");
+    let (code, out, error) = cairncrank(&["check-config", "--config", EXAMPLE, "--settings", deployed]);
+    assert!(code == Some(0), "{out}{error}");
+    let (code, _, error) = cairncrank(&["check-config", "--config", EXAMPLE, "--settings", "none.hcl"]);
+    assert!(code == Some(1) && error.contains("none.hcl: cannot read it"), "{error}");
     for (option, word) in [("--log", "loud=much"), ("--log-format", "xml")] {
         let (code, _, error) = cairncrank(&["version", option, word]);
         assert!(code == Some(2) && error.contains(word), "{error}");
@@ -76,6 +81,8 @@
     assert!(code == Some(0) && out.contains("2 classes"), "{out}{error}");
 }
 
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json");
+
 /// The program itself, with sockets and a real signal: SIGTERM ends it in good order.
 #[cfg(unix)]
 #[test]
@@ -172,3 +179,25 @@
     assert_eq!(program.wait().expect("an end").code(), Some(0));
     let _ = std::fs::remove_file(&file);
 }
+
+/// Our own settings are read again with the platform's; a fault in them leaves all as it was.
+#[test]
+fn a_fault_in_our_own_settings_stops_a_reload() {
+    let file = std::env::temp_dir().join(format!("cairncrank-own-{}.hcl", std::process::id()));
+    let write = |text: &str| std::fs::write(&file, text).expect("a file");
+    let named = file.display().to_string();
+    let variable = |name: &str| match name {
+        "BALANCER_CONFIG" => Some(EXAMPLE.to_owned()),
+        "CAIRNCRANK_SETTINGS" => Some(named.clone()),
+        _ => None,
+    };
+    write("room {\n  price = 3\n}\n");
+    let config = Config::from_environment(variable).expect("no fault");
+    assert_eq!(config.settings.room.map(|room| room.price), Some(3.0));
+    write("room {\n  price = -3\n}\n");
+    let fault = config.again(variable).expect_err("a fault").to_string();
+    assert!(fault.contains(".hcl:2: room.price: expected a number from 0"), "{fault}");
+    write("room {\n  hold = false\n}\n");
+    assert_eq!(config.again(variable).expect("no fault").settings.room, None);
+    let _ = std::fs::remove_file(&file);
+}
--- a/experiments/large-jobs.hcl
+++ b/experiments/large-jobs.hcl
@@ -66,7 +66,7 @@
     router = "cairncrank"
     room {
       from_slots = 4
-      price      = 1
+      price      = 16
     }
   }
   arm "random" {
