--- a/crates/cairncrank-lab/src/sockets/client.rs
+++ b/crates/cairncrank-lab/src/sockets/client.rs
@@ -65,13 +65,8 @@
     };
     let mut second = false;
     loop {
-        world.borrow_mut().open += 1;
         let ended = attempt(&world, &pool, job, deadline, leaves).await;
-        let now = {
-            let mut shared = world.borrow_mut();
-            shared.open -= 1;
-            shared.now()
-        };
+        let now = world.borrow().now();
         let (end, again, after) = match ended {
             Ended::Served => (End::Served(now), false, None),
             Ended::Refused(after) => (End::Refused(now), true, after),
@@ -130,11 +125,7 @@
     if matches!(ended, Ended::Left | Ended::Killed) {
         shared.checker.excuse(id);
     }
-    // A later send of it would be a mistake, and is seen as one until the day is over.
-    let answered = matches!(ended, Ended::Served | Ended::Refused(_));
-    if taken.is_some()
-        && (answered || matches!(ended, Ended::Failed | Ended::Left | Ended::Killed | Ended::Nothing))
-    {
+    if taken.is_some() {
         shared.checker.close(id);
     }
     ended
--- a/crates/cairncrank-lab/src/sockets/mod.rs
+++ b/crates/cairncrank-lab/src/sockets/mod.rs
@@ -85,7 +85,6 @@
     record: Record,
     rng: Pcg64Mcg,
     notes: Vec<Note>,
-    open: u64,
 }
 
 type World = Rc<RefCell<Shared>>;
@@ -230,7 +229,6 @@
         },
         rng: stream(day.seed, 5),
         notes: Vec::new(),
-        open: 0,
         experiment,
         day,
     };
--- a/crates/cairncrank/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform hands over a JSON file (`BALANCER_CONFIG`) and repeats the name and the addresses in variables
 //! of their own, which win. Messages name the faulty key. A file that is read again while the program runs is
-//! taken in whole or not at all (our own settings of `own.rs` with it), and there `discovery` wins over its variable, which cannot change any more.
+//! taken in whole or not at all (our own settings of `own.rs` with it), and there `discovery` wins over its
+//! variable, which cannot change any more.
 
 use std::fmt;
 use std::net::SocketAddr;
