Take the clients' listening socket from BALANCER_ACCEPT_FD where the platform hands it over

Design: take the descriptor with listenfd, a crate made for sockets handed over at start, since making a socket of a number needs unsafe, which the workspace forbids; it checks that the descriptor is a TCP socket, and socket2's is_listener that it listens. A bad number or descriptor ends the start with 'BALANCER_ACCEPT_FD: descriptor N is no listening TCP socket: ...', no panic.

--- a/crates/cairncrank/src/main.rs
+++ b/crates/cairncrank/src/main.rs
@@ -4,7 +4,7 @@
 
 use cairncrank::config::{Config, ConfigError};
 use cairncrank::log;
-use cairncrank::net::{self, signal};
+use cairncrank::net::{self, inherit, signal};
 use cairncrank::own;
 use lexopt::prelude::{Long, Short, Value};
 use lexopt::ValueExt as _;
@@ -99,8 +99,19 @@
         },
         Command::Serve => match Config::from_environment(&variable) {
             Ok(config) => {
+                // Before the log's thread starts: taking the socket sets variables of the environment.
+                let inherited = match variable(inherit::VARIABLE)
+                    .map(|text| inherit::number(&text).and_then(inherit::take))
+                {
+                    None => None,
+                    Some(Ok(listener)) => Some(listener),
+                    Some(Err(error)) => {
+                        eprintln!("cairncrank: {error}");
+                        return ExitCode::FAILURE;
+                    }
+                };
                 let _guard = log::start(levels, format);
-                return serve(config, variable);
+                return serve(config, inherited, variable);
             }
             Err(error) => return misconfigured(&error),
         },
@@ -113,12 +124,20 @@
     ExitCode::FAILURE
 }
 
-fn serve(config: Config, variable: impl Fn(&str) -> Option<String> + 'static) -> ExitCode {
+fn serve(
+    config: Config,
+    inherited: Option<std::net::TcpListener>,
+    variable: impl Fn(&str) -> Option<String> + 'static,
+) -> ExitCode {
     let run = async {
         // Caught first: a signal that comes while the rest starts must not kill.
         let phase = signal::phases(config.longest)?;
         let reload = signal::reloads(move |old| old.again(&variable))?;
-        let listener = tokio::net::TcpListener::bind(config.listen).await?;
+        // The platform may hold the address itself and hand it over, so that two processes serve it in turn.
+        let listener = match inherited {
+            Some(listener) => tokio::net::TcpListener::from_std(listener)?,
+            None => tokio::net::TcpListener::bind(config.listen).await?,
+        };
         net::serve(config, listener, phase, reload).await
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod discovery;
 pub mod http;
+pub mod inherit;
 pub mod signal;
 pub mod worker;
 
