Add the operators' console: status, Prometheus figures, standby and active

Design: net/console.rs, a listener of its own where 'console' or BALANCER_CONSOLE says, one call a connection, at most 32 at once (the rest answered 503 unread), 0.5 s for a call to come whole (then 408), so that silent callers hold nothing. It reads only counters and watches, never the engine's queue, so a busy data path cannot make it wait. Standby is a watch that the clients' part follows: /healthz says no, every answer then carries Connection: close, and idle connections are closed as at SIGTERM's Closing (a fresh one keeps its 0.4 s for a request on the way). Not taken: sending standby through the engine's queue, since the module decides nothing by it yet; noted as open.

--- a/crates/cairncrank/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -85,6 +85,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where the operators' console listens, if anywhere.
+    pub console: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// The most connections of clients.
@@ -172,6 +174,8 @@
             }
         }
         new.listen = self.listen;
+        // Its listener stays where it is.
+        new.console = self.console;
         Ok(new)
     }
 
@@ -225,6 +229,10 @@
             name: told("BALANCER_NAME", "name").map_or_else(|| "cairncrank".to_owned(), |(_, v)| v),
             listen: address("BALANCER_LISTEN", "listen")?,
             discovery: address("BALANCER_DISCOVERY", "discovery")?,
+            console: match told("BALANCER_CONSOLE", "console") {
+                None => None,
+                Some(_) => Some(address("BALANCER_CONSOLE", "console")?),
+            },
             seed: seed(&root["seed"])?,
             client_sockets,
             worker_sockets: sockets - SOCKETS_KEPT - client_sockets,
--- a/crates/cairncrank/src/engine.rs
+++ b/crates/cairncrank/src/engine.rs
@@ -78,6 +78,8 @@
     pub idempotency_key: Option<Bytes>,
     /// The body.
     pub body: Bytes,
+    /// The name of its class, for the figures.
+    pub class: Rc<str>,
 }
 
 /// A job as it came in.
--- a/crates/cairncrank/src/net/client.rs
+++ b/crates/cairncrank/src/net/client.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
+use super::console::{InFlight, Metrics, Mode, Outcome};
 use super::http::{reason, text, Decoder, Framing, Head, Malformed, Piece, Start, MAX_BODY};
 use super::signal::Phase;
 use super::{read_more, waiting, write_whole, Configs};
@@ -44,7 +45,7 @@
 /// After an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Without word of discovery, the list as last held serves after this.
-const UNHEARD: Duration = Duration::from_secs(1);
+pub(crate) const UNHEARD: Duration = Duration::from_secs(1);
 /// What a refused client is told where the module was not asked, in seconds.
 const COME_BACK: f64 = 1.0;
 
@@ -56,6 +57,15 @@
     ready: watch::Receiver<bool>,
     crowded: watch::Sender<bool>,
     since: Instant,
+    /// Set by the operators' console.
+    mode: watch::Receiver<Mode>,
+    metrics: Rc<Metrics>,
+}
+
+impl Shared {
+    fn standby(&self) -> bool {
+        *self.mode.borrow() == Mode::Standby
+    }
 }
 
 /// Accepts and serves clients until the program has been told to end and all is answered.
@@ -65,11 +75,21 @@
     handle: Handle,
     mut phase: watch::Receiver<Phase>,
     ready: watch::Receiver<bool>,
+    mode: watch::Receiver<Mode>,
+    metrics: Rc<Metrics>,
 ) {
     let (crowded, _) = watch::channel(false);
     let since = Instant::now();
-    let shared =
-        Rc::new(Shared { configs, handle: handle.clone(), phase: phase.clone(), ready, crowded, since });
+    let shared = Rc::new(Shared {
+        configs,
+        handle: handle.clone(),
+        phase: phase.clone(),
+        ready,
+        crowded,
+        since,
+        mode,
+        metrics,
+    });
     let mut listener = Some(listener);
     let mut tasks = JoinSet::new();
     let mut told = false;
@@ -213,17 +233,32 @@
         let answer = match job {
             Ok(None) => {
                 let heard = *self.shared.ready.borrow() || self.shared.since.elapsed() >= UNHEARD;
-                let ready = heard && *self.shared.phase.borrow() == Phase::Serving;
+                let ready = heard && *self.shared.phase.borrow() == Phase::Serving && !self.shared.standby();
                 Ok(if ready { Answer::Served(Bytes::from_static(b"ready\n")) } else { Answer::Refused(None) })
             }
-            Ok(Some(_)) if self.surplus => Ok(Answer::Refused(Some(COME_BACK))),
+            Ok(Some(job)) if self.surplus => {
+                self.shared.metrics.count(&job.payload.class, Outcome::Refused);
+                Ok(Answer::Refused(Some(COME_BACK)))
+            }
             Ok(Some(mut job)) => {
                 job.payload.body = body;
-                Ok(self.answer(*job).await?)
+                let class = job.payload.class.clone();
+                let answer = self.answer(*job).await?;
+                let outcome = match &answer {
+                    Answer::Served(_) => Outcome::Served,
+                    Answer::Refused(_) | Answer::Rejected(Fault::Open) => Outcome::Refused,
+                    Answer::Failed | Answer::Rejected(Fault::Unusable) => Outcome::Failed,
+                };
+                self.shared.metrics.count(&class, outcome);
+                Ok(answer)
             }
             Err(rejected) => Err(rejected),
         };
-        let keep = head.keep_alive && !self.surplus && *self.shared.phase.borrow() <= Phase::Leaving;
+        // In standby each connection ends after its answer: clients go elsewhere for the next.
+        let keep = head.keep_alive
+            && !self.surplus
+            && *self.shared.phase.borrow() <= Phase::Leaving
+            && !self.shared.standby();
         let message = match answer {
             Ok(Answer::Served(result)) => response(200, None, keep, result),
             Ok(Answer::Refused(after)) => {
@@ -257,10 +292,12 @@
             }
             let (idle, fresh, begun) = (self.buf.is_empty(), self.fresh, self.begun);
             let (mut phase, mut crowded) = (self.shared.phase.clone(), self.shared.crowded.subscribe());
+            let mut mode = self.shared.mode.clone();
             let dismissed = async {
                 tokio::select! {
                     _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
                     _ = crowded.wait_for(|c| *c) => {}
+                    _ = mode.wait_for(|m| *m == Mode::Standby) => {}
                 }
                 if fresh {
                     // Its first request may be on the way, and would be lost: no client sends that again.
@@ -358,6 +395,7 @@
 
     /// Hands the job in and waits for its answer, or for the client to leave.
     async fn answer(&mut self, job: Job) -> Result<Answer, End> {
+        let _in_flight = InFlight::new(&self.shared.metrics);
         let mut ticket = self.shared.handle.submit(job);
         loop {
             let ahead = self.buf.len() < READ_AHEAD;
@@ -452,6 +490,7 @@
             target: target.clone(),
             idempotency_key,
             body: Bytes::new(),
+            class: info.name.as_str().into(),
         };
         Ok(Some(Box::new(Job { request, patience, payload })))
     }
--- /dev/null
+++ b/crates/cairncrank/src/net/console.rs
@@ -0,0 +1,261 @@
+//! The operators' console: its own listener, HTTP/1.1 with one call a connection.
+//!
+//! It never waits on the data path: what it shows is read from counters and from the watches that the other
+//! parts keep, and what it changes (standby, active) goes out on a watch of its own that the clients' part and
+//! the health check follow. Its connections are bounded, and each has a deadline for its call, so that callers
+//! that connect and say nothing can hold neither it nor the clients' descriptors.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::http::{Head, Start};
+use super::read_more;
+
+/// A call must have come whole within this from connecting on; a caller waits 1 s for its answer.
+const CALL_PATIENCE: Duration = Duration::from_millis(500);
+/// Connections at once; those beyond are answered 503 at once, unread.
+const MOST: usize = 32;
+/// After an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The figures, counted where each event happens.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Jobs by class and outcome (served, refused, failed), and attempts written whole to workers.
+    pub requests: IntCounterVec,
+    /// Jobs taken and not yet answered.
+    pub in_flight: IntGauge,
+    /// The workers in the list.
+    pub known: IntGauge,
+    /// The listed workers that are avoided.
+    pub excluded: IntGauge,
+    /// Settings taken at SIGHUP.
+    pub reloads_ok: IntCounter,
+    /// Settings turned down at SIGHUP.
+    pub reloads_failed: IntCounter,
+}
+
+/// How a job ended for its client, or that an attempt was written whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered with a worker's result.
+    Served,
+    /// Declined; coming again does no harm.
+    Refused,
+    /// Failed.
+    Failed,
+    /// An attempt's last byte was written to a worker.
+    Attempt,
+}
+
+impl Outcome {
+    fn label(self) -> &'static str {
+        match self {
+            Outcome::Served => "served",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+            Outcome::Attempt => "attempts",
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// All figures at 0.
+    ///
+    /// # Panics
+    /// Never: the names are fixed and differ.
+    #[must_use]
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let opts = Opts::new("balancer_requests", "Jobs by class and outcome, and attempts written whole");
+        let requests = IntCounterVec::new(opts, &["class", "outcome"]).expect("a valid name");
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("a valid name");
+        let counter = |name: &str, help: &str| IntCounter::new(name, help).expect("a valid name");
+        let metrics = Metrics {
+            requests,
+            in_flight: gauge("balancer_in_flight", "Jobs taken and not yet answered"),
+            known: gauge("balancer_shop_workers_known", "Workers in the list"),
+            excluded: gauge("balancer_shop_workers_excluded", "Listed workers that are avoided now"),
+            reloads_ok: counter("balancer_reloads_ok", "Settings taken at SIGHUP"),
+            reloads_failed: counter("balancer_reloads_failed", "Settings turned down at SIGHUP"),
+            registry,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone())).expect("registered once");
+        registry.register(Box::new(metrics.in_flight.clone())).expect("registered once");
+        registry.register(Box::new(metrics.known.clone())).expect("registered once");
+        registry.register(Box::new(metrics.excluded.clone())).expect("registered once");
+        registry.register(Box::new(metrics.reloads_ok.clone())).expect("registered once");
+        registry.register(Box::new(metrics.reloads_failed.clone())).expect("registered once");
+        metrics
+    }
+
+    /// Counts one job's end, or one attempt, of a class.
+    pub fn count(&self, class: &str, outcome: Outcome) {
+        self.requests.with_label_values(&[class, outcome.label()]).inc();
+    }
+
+    /// Every class shows all four, from 0 on, so that a scrape tells 0 from unknown.
+    pub fn know_class(&self, class: &str) {
+        for outcome in [Outcome::Served, Outcome::Refused, Outcome::Failed, Outcome::Attempt] {
+            self.requests.with_label_values(&[class, outcome.label()]);
+        }
+    }
+
+    /// The figures in the Prometheus text exposition format.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails only on a family without metrics, which registration rules out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+/// A job taken and not yet answered, for as long as it lives.
+#[derive(Debug)]
+pub struct InFlight(IntGauge);
+
+impl InFlight {
+    /// Counts one in.
+    #[must_use]
+    pub fn new(metrics: &Metrics) -> InFlight {
+        metrics.in_flight.inc();
+        InFlight(metrics.in_flight.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Whether the operators have emptied the dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Work is invited.
+    Active,
+    /// No new work is invited, and open connections are closed once they are idle.
+    Standby,
+}
+
+/// What the console reads and changes.
+#[expect(missing_debug_implementations, reason = "a function has nothing to show")]
+pub struct Console {
+    /// The figures.
+    pub metrics: Rc<Metrics>,
+    /// Set by standby and active.
+    pub mode: watch::Sender<Mode>,
+    /// Whether the process is ready: it says yes to the health check.
+    pub ready: Box<dyn Fn() -> bool>,
+}
+
+/// Answers the operators' calls for as long as the program runs.
+pub async fn serve(listener: TcpListener, console: Rc<Console>) {
+    let mut calls = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = calls.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if calls.len() < MOST => {
+                    calls.spawn_local(call(stream, console.clone()));
+                }
+                Ok((stream, _)) => {
+                    // Answered unread, but without waiting: a caller that does not read holds nothing here.
+                    let _ = stream.try_write(&response(503, "text/plain", b"too many calls at once\n"));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "the console cannot accept");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+}
+
+/// One call and its answer.
+async fn call(mut stream: TcpStream, console: Rc<Console>) {
+    let _ = stream.set_nodelay(true);
+    let head = timeout(CALL_PATIENCE, async {
+        let mut buf = BytesMut::new();
+        loop {
+            match Head::request(&mut buf) {
+                Ok(Some(head)) => return Some(head),
+                Ok(None) => {}
+                Err(_) => return None,
+            }
+            if !matches!(read_more(&mut stream, &mut buf).await, Ok(true)) {
+                return None;
+            }
+        }
+    });
+    let answer = match head.await {
+        Ok(Some(head)) => match &head.start {
+            Start::Request(method, target) => answer(&console, method, target),
+            Start::Response(_) => response(400, "text/plain", b"a call is a request\n"),
+        },
+        Ok(None) => response(400, "text/plain", b"this is no HTTP/1.1 request\n"),
+        Err(_) => response(408, "text/plain", b"the call did not come in time\n"),
+    };
+    let _ = timeout(CALL_PATIENCE, stream.write_all(&answer)).await;
+    let _ = stream.shutdown().await;
+}
+
+/// The answer to a call.
+#[must_use]
+pub fn answer(console: &Console, method: &[u8], target: &[u8]) -> Vec<u8> {
+    let path = target.split(|b| *b == b'?').next().unwrap_or_default();
+    match (method, path) {
+        (b"GET", b"/status") => {
+            let mode = *console.mode.borrow();
+            let ready = (console.ready)() && mode == Mode::Active;
+            let body = format!(
+                "{{\"ready\":{ready},\"mode\":\"{}\",\"in_flight\":{}}}\n",
+                if mode == Mode::Active { "active" } else { "standby" },
+                console.metrics.in_flight.get()
+            );
+            response(if ready { 200 } else { 503 }, "application/json", body.as_bytes())
+        }
+        (b"GET", b"/status/metrics") => response(200, "text/plain; version=0.0.4", &console.metrics.text()),
+        (b"POST", b"/standby") => {
+            if console.mode.send_replace(Mode::Standby) == Mode::Active {
+                tracing::info!("standby: no new work is invited");
+            }
+            response(200, "text/plain", b"standby\n")
+        }
+        (b"POST", b"/active") => {
+            if console.mode.send_replace(Mode::Active) == Mode::Standby {
+                tracing::info!("active: work is invited again");
+            }
+            response(200, "text/plain", b"active\n")
+        }
+        (_, b"/status" | b"/status/metrics") => response(405, "text/plain", b"ask for this with GET\n"),
+        (_, b"/standby" | b"/active") => response(405, "text/plain", b"ask for this with POST\n"),
+        _ => response(404, "text/plain", b"there is no such call\n"),
+    }
+}
+
+fn response(status: u16, kind: &str, body: &[u8]) -> Vec<u8> {
+    let reason = super::http::reason(status);
+    let mut message =
+        format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len())
+            .into_bytes();
+    message.extend_from_slice(body);
+    message
+}
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! [`Answer`](crate::engine::Answer); none of them decides anything.
 
 pub mod client;
+pub mod console;
 pub mod discovery;
 pub mod http;
 pub mod inherit;
@@ -56,18 +57,37 @@
     reload: signal::Reload,
 ) -> std::io::Result<()> {
     let clock = Clock::start();
+    let metrics = Rc::new(console::Metrics::new());
+    config.names.classes.iter().for_each(|class| metrics.know_class(&class.name));
+    let (mode, modes) = watch::channel(console::Mode::Active);
     let (handle, inputs) = Handle::queue();
     let (commands, orders) = mpsc::unbounded_channel();
     let engine = Engine::new(config.settings.clone(), config.seed, config.known.1.clone(), clock, commands);
+    let at = config.console;
     let (config, configs) = watch::channel(Rc::new(config));
-    let mut pool = spawn_local(worker::run(configs.clone(), clock, handle.clone(), orders));
+    let mut pool = spawn_local(worker::run(configs.clone(), clock, handle.clone(), orders, metrics.clone()));
     let mut engine = spawn_local(engine.run(inputs));
     let (ready, is_ready) = watch::channel(false);
     let mut follow = spawn_local(discovery::follow(configs.clone(), handle.clone(), ready));
-    let mut renew = spawn_local(renew(reload, config, handle.clone()));
+    let mut renew = spawn_local(renew(reload, config, handle.clone(), metrics.clone()));
+    if let Some(at) = at {
+        // Without its console the dispatcher still serves; the operators see the error in the log.
+        match tokio::net::TcpListener::bind(at).await {
+            Ok(listener) => {
+                let (heard, phase, since) = (is_ready.clone(), phase.clone(), std::time::Instant::now());
+                let ready = Box::new(move || {
+                    let heard = *heard.borrow() || since.elapsed() >= client::UNHEARD;
+                    heard && *phase.borrow() == signal::Phase::Serving
+                });
+                let console = console::Console { metrics: metrics.clone(), mode, ready };
+                spawn_local(console::serve(listener, Rc::new(console)));
+            }
+            Err(error) => tracing::error!(%error, %at, "the console cannot listen"),
+        }
+    }
     // None of the four ends while clients are served: without any of them the program must not go on as if.
     tokio::select! {
-        () = client::accept(configs, listener, handle, phase, is_ready) => Ok(()),
+        () = client::accept(configs, listener, handle, phase, is_ready, modes, metrics) => Ok(()),
         _ = &mut pool => Err(std::io::Error::other("the task that reaches workers ended")),
         _ = &mut engine => Err(std::io::Error::other("the task that owns the module ended")),
         _ = &mut follow => Err(std::io::Error::other("the task that follows discovery ended")),
@@ -77,16 +97,26 @@
 
 /// Takes in each configuration that is to replace the one before. All parts have it before any of them runs
 /// again, so that no job is read by the names of one and decided by the settings of the other.
-async fn renew(mut reload: signal::Reload, config: watch::Sender<Rc<Config>>, handle: Handle) {
+async fn renew(
+    mut reload: signal::Reload,
+    config: watch::Sender<Rc<Config>>,
+    handle: Handle,
+    metrics: Rc<console::Metrics>,
+) {
     while reload.asked.recv().await.is_some() {
         let old = config.borrow().clone();
         match (reload.read)(&old) {
             Ok(new) => {
                 tracing::info!(discovery = %new.discovery, "configuration read again");
+                metrics.reloads_ok.inc();
+                new.names.classes.iter().for_each(|class| metrics.know_class(&class.name));
                 handle.tell(Input::Configure(Box::new(new.settings.clone())));
                 config.send_replace(Rc::new(new));
             }
-            Err(error) => tracing::error!("configuration unchanged: {error}"),
+            Err(error) => {
+                metrics.reloads_failed.inc();
+                tracing::error!("configuration unchanged: {error}");
+            }
         }
     }
     // Whoever could ask is gone.
--- a/crates/cairncrank/src/net/worker.rs
+++ b/crates/cairncrank/src/net/worker.rs
@@ -17,6 +17,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{interval_at, timeout, timeout_at, Instant};
 
+use super::console::{self, Metrics};
 use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
 use super::{read_more, write_whole, Configs};
 use crate::engine::{Clock, Command, Handle, Input, Micros, Payload, Reach};
@@ -58,6 +59,7 @@
 }
 
 struct Pool {
+    metrics: Rc<Metrics>,
     configs: Configs,
     clock: Clock,
     handle: Handle,
@@ -90,8 +92,10 @@
     clock: Clock,
     handle: Handle,
     mut commands: mpsc::UnboundedReceiver<Command>,
+    metrics: Rc<Metrics>,
 ) {
     let pool = Rc::new(Pool {
+        metrics,
         configs,
         clock,
         handle,
@@ -262,6 +266,7 @@
     let written = write_whole(&mut stream, &mut message).await;
     if !message.has_remaining() {
         end.reach = Reach::Written;
+        pool.metrics.count(&payload.class, console::Outcome::Attempt);
     }
     if written.is_err() {
         // A kept connection that takes no write is no fault of the worker's, and nothing was sent.
