Report the workers that the list names as shop_workers_known

Change: the worker pool marks each peer that the list names (any state but gone) and sets the gauge after each list; a listed peer that drains is kept, so it is counted.

--- a/crates/cairncrank/src/net/worker.rs
+++ b/crates/cairncrank/src/net/worker.rs
@@ -21,7 +21,7 @@
 use super::http::{Decoder, Head, Lines, Piece, Start, MAX_BODY};
 use super::{read_more, write_whole, Configs};
 use crate::engine::{Clock, Command, Handle, Input, Micros, Payload, Reach};
-use cairncrank_core::api::{Outcome, RequestId, Scope, WorkerId};
+use cairncrank_core::api::{Outcome, RequestId, Scope, WorkerId, WorkerState};
 use cairncrank_core::settings::worker_id;
 
 /// A line of a worker may be this long: a result as large as a body, with room for escapes.
@@ -54,6 +54,8 @@
     address: Cell<Option<SocketAddr>>,
     /// It takes new work, as far as discovery told.
     serves: Cell<bool>,
+    /// The list names it, whether it takes new work or drains.
+    listed: Cell<bool>,
     /// The last one was used last.
     idle: RefCell<Vec<Idle>>,
 }
@@ -145,23 +147,33 @@
         let mut peers = self.peers.borrow_mut();
         if scope != Scope::Changes {
             // Those that the whole list does not name are gone.
-            peers.values().for_each(|peer| peer.serves.set(false));
+            peers.values().for_each(|peer| {
+                peer.serves.set(false);
+                peer.listed.set(false);
+            });
         }
         for listed in members {
             let peer = peers.entry(listed.member.worker).or_insert_with(|| {
-                Rc::new(Peer { address: Cell::default(), serves: Cell::default(), idle: RefCell::default() })
+                Rc::new(Peer {
+                    address: Cell::default(),
+                    serves: Cell::default(),
+                    listed: Cell::default(),
+                    idle: RefCell::default(),
+                })
             });
             if listed.address.is_some() && listed.address != peer.address.get() {
                 peer.address.set(listed.address);
                 self.drop_idle(peer, |_| false);
             }
             peer.serves.set(listed.serves());
+            peer.listed.set(listed.member.state != WorkerState::Gone);
         }
         for peer in peers.values().filter(|peer| !peer.serves.get()) {
             self.drop_idle(peer, |_| false);
         }
         // A peer that no attempt uses and nobody may use again is forgotten.
-        peers.retain(|_, peer| peer.serves.get() || Rc::strong_count(peer) > 1);
+        peers.retain(|_, peer| peer.listed.get() || Rc::strong_count(peer) > 1);
+        self.metrics.known.set(known(peers.values().map(|peer| peer.listed.get())));
     }
 
     fn sweep(&self) {
@@ -420,3 +432,8 @@
     }
     Some(())
 }
+
+/// The workers that the list names, of the peers known; for the figures.
+fn known(listed: impl Iterator<Item = bool>) -> i64 {
+    listed.filter(|listed| *listed).count().try_into().unwrap_or(i64::MAX)
+}
