Say yes to /healthz and /status by one function, not by two copies of the rule

Seen on reading the change again: the console's status closure in net/mod.rs repeated the health check's rule of net/client.rs (heard of the workers or waited UNHEARD, serving), and would drift from it. Change: client::says_yes holds the rule once and both call it; the console passes Active and tells standby itself, as before.

--- a/crates/cairncrank/src/net/client.rs
+++ b/crates/cairncrank/src/net/client.rs
@@ -45,7 +45,7 @@
 /// After an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Without word of discovery, the list as last held serves after this.
-pub(crate) const UNHEARD: Duration = Duration::from_secs(1);
+const UNHEARD: Duration = Duration::from_secs(1);
 /// What a refused client is told where the module was not asked, in seconds.
 const COME_BACK: f64 = 1.0;
 
@@ -62,6 +62,12 @@
     metrics: Rc<Metrics>,
 }
 
+/// Whether the process says yes to the health check and to the console's status: it has heard of its workers, or
+/// waited long enough for them to serve with the list as last held; it serves; it is not in standby.
+pub(crate) fn says_yes(heard: bool, since: Instant, phase: Phase, mode: Mode) -> bool {
+    (heard || since.elapsed() >= UNHEARD) && phase == Phase::Serving && mode == Mode::Active
+}
+
 impl Shared {
     fn standby(&self) -> bool {
         *self.mode.borrow() == Mode::Standby
@@ -232,8 +238,13 @@
         };
         let answer = match job {
             Ok(None) => {
-                let heard = *self.shared.ready.borrow() || self.shared.since.elapsed() >= UNHEARD;
-                let ready = heard && *self.shared.phase.borrow() == Phase::Serving && !self.shared.standby();
+                let shared = &self.shared;
+                let ready = says_yes(
+                    *shared.ready.borrow(),
+                    shared.since,
+                    *shared.phase.borrow(),
+                    *shared.mode.borrow(),
+                );
                 Ok(if ready { Answer::Served(Bytes::from_static(b"ready\n")) } else { Answer::Refused(None) })
             }
             Ok(Some(job)) if self.surplus => {
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -74,10 +74,10 @@
         // Without its console the dispatcher still serves; the operators see the error in the log.
         match tokio::net::TcpListener::bind(at).await {
             Ok(listener) => {
-                let (heard, phase, since) = (is_ready.clone(), phase.clone(), std::time::Instant::now());
+                let (heard, phase, since) = (is_ready.clone(), phase.clone(), tokio::time::Instant::now());
+                // Standby is told apart by the console itself, which names it in its answer.
                 let ready = Box::new(move || {
-                    let heard = *heard.borrow() || since.elapsed() >= client::UNHEARD;
-                    heard && *phase.borrow() == signal::Phase::Serving
+                    client::says_yes(*heard.borrow(), since, *phase.borrow(), console::Mode::Active)
                 });
                 let console = console::Console { metrics: metrics.clone(), mode, ready };
                 spawn_local(console::serve(listener, Rc::new(console)));
