Own duties one at a time: a pure state machine, its leader's account and a model of it

Need: dispatchers share nothing today, so no work on behalf of the fleet has an owner, and nothing says whose word is old. The new package cairncrank-duty holds the agreement without clock or I/O: sessions with incarnations, duties, fencing tokens drawn from the log, the leading keeper's account of leases, and a member's side.

Decided: a duty that lost its owner is fenced, and granted again only when every older session has said that it knows of the fence or has ended; so no receiver takes an effect of the old term once the new one is granted. A lease counts from before it was asked for; at the keepers from after it was confirmed, longer by twice the stated clock rate.

--- /dev/null
+++ b/crates/cairncrank-duty/src/command.rs
@@ -0,0 +1,116 @@
+//! What stands in the keepers' log, with its version.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DutyId, Revision, SessionId, Token};
+
+/// The version that this program writes. An entry of a higher one stops the keeper: it may not be skipped.
+pub const COMMAND_VERSION: u16 = 1;
+
+/// A change of the state, as agreed on.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// A member wants a session. Saying so twice with the same `boot` gives the same session.
+    Join {
+        /// The member's name.
+        name: String,
+        /// A number drawn by the member's process at its start.
+        boot: u64,
+        /// The member's zone, or nothing.
+        zone: String,
+        /// Where other members reach it.
+        address: String,
+        /// The duties that it may be given.
+        offers: Vec<DutyId>,
+        /// Whether the session that this one takes over from was short, by the leading keeper's clock.
+        short: bool,
+    },
+    /// A member goes; its duties are free at once.
+    Leave {
+        /// Whose session.
+        session: SessionId,
+        /// Whether its life was short, by the leading keeper's clock.
+        short: bool,
+    },
+    /// A session was not renewed in time.
+    End {
+        /// The session.
+        session: SessionId,
+        /// Whether its life was short, by the leading keeper's clock.
+        short: bool,
+    },
+    /// A session stayed long enough to be given duties.
+    Settle {
+        /// The session.
+        session: SessionId,
+    },
+    /// A duty gets an owner, if it is still free since `fenced`.
+    Grant {
+        /// The duty.
+        duty: DutyId,
+        /// The owner to be.
+        session: SessionId,
+        /// The fence that all older sessions have seen.
+        fenced: Revision,
+    },
+    /// An owner's term is over, by its own wish or an operator's.
+    Release {
+        /// The duty.
+        duty: DutyId,
+        /// The term meant; another one is left alone.
+        token: Token,
+        /// Whether the owner is not to be given it again for now.
+        unsettle: bool,
+    },
+    /// A keeper was started, for the so-manieth time on its disk.
+    KeeperStarted {
+        /// Its number.
+        keeper: u64,
+        /// How often its disk was started.
+        boots: u64,
+    },
+}
+
+/// An entry that this program cannot apply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommandFault {
+    /// Written by a later version.
+    Later(u16),
+    /// Not what a keeper writes.
+    Malformed(String),
+}
+
+impl std::fmt::Display for CommandFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CommandFault::Later(version) => write!(
+                f,
+                "an entry has version {version} and this keeper knows up to {COMMAND_VERSION}: it stops rather than \
+                 skip what was agreed; run a newer keeper"
+            ),
+            CommandFault::Malformed(why) => write!(f, "an entry cannot be read: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for CommandFault {}
+
+impl Command {
+    /// The bytes for the log: the version, then the command.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(&(COMMAND_VERSION, self)).unwrap_or_default()
+    }
+
+    /// Reads an entry.
+    pub fn decode(bytes: &[u8]) -> Result<Command, CommandFault> {
+        let malformed = |error: postcard::Error| CommandFault::Malformed(error.to_string());
+        let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(malformed)?;
+        if version > COMMAND_VERSION {
+            return Err(CommandFault::Later(version));
+        }
+        match postcard::take_from_bytes(rest).map_err(malformed)? {
+            (command, []) => Ok(command),
+            (_, rest) => Err(CommandFault::Malformed(format!("{} bytes too many", rest.len()))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -0,0 +1,442 @@
+//! The replicated state: sessions, names, duties, tokens. The same entries give the same state on every keeper.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Command, DutyId, Revision, Scope, SessionId, Token};
+
+/// Bounds on what the state may hold: sessions, duties, duties offered by one member, bytes of a name or an address.
+pub const LIMITS: (usize, usize, usize, usize) = (2_048, 4_096, 512, 128);
+
+/// How many processes of one name are remembered, so that an old one is known when it comes again.
+const OLD_BOOTS: usize = 8;
+/// The version of the snapshot.
+const SNAPSHOT_VERSION: u16 = 1;
+
+/// A member that is there.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Session {
+    /// The member's name.
+    pub name: String,
+    /// Which process of that name, counted from one.
+    pub incarnation: u64,
+    /// The number that this process drew.
+    pub boot: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Where members reach it.
+    pub address: String,
+    /// The duties that it may be given.
+    pub offers: Vec<DutyId>,
+    /// Whether it stayed long enough.
+    pub settled: bool,
+    /// Whether a later process of the same name is there: no renewal any more.
+    pub superseded: bool,
+}
+
+/// What is remembered of a name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Name {
+    incarnation: u64,
+    /// The last processes of the name, the latest last.
+    boots: Vec<u64>,
+    short_lives: u8,
+}
+
+/// Who owns a duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// By which session.
+    pub session: SessionId,
+    /// With which token.
+    pub token: Token,
+}
+
+/// A duty.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Duty {
+    /// Tokens below this one are of ended terms.
+    pub floor: Token,
+    /// When the last term ended: whoever is to have a say in the next has to know of this.
+    pub fenced: Revision,
+    /// The owner, if it has one.
+    pub owner: Option<Owner>,
+}
+
+/// What all keepers agree on.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct State {
+    revision: Revision,
+    seats_revision: Revision,
+    next_token: u64,
+    sessions: BTreeMap<SessionId, Session>,
+    names: BTreeMap<String, Name>,
+    duties: BTreeMap<DutyId, Duty>,
+    keepers: BTreeMap<u64, u64>,
+}
+
+/// What became of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The member has this session, as that process of its name.
+    Joined(SessionId, u64),
+    /// The session is over.
+    Ended(SessionId),
+    /// It may own duties now.
+    Settled(SessionId),
+    /// The duty has an owner.
+    Granted(DutyId, Owner),
+    /// The term is over.
+    Released(DutyId, Token),
+    /// Noted.
+    Noted,
+    /// Not done, and nothing was changed.
+    Refused(Reason),
+}
+
+/// Why a command was not done.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// There is no such session, or no more.
+    NoSession,
+    /// A later process of the same name is there.
+    Superseded {
+        /// Which one.
+        incarnation: u64,
+    },
+    /// The duty was granted, fenced or unknown.
+    NotFree,
+    /// That term is over, or never was.
+    NotTheOwner,
+    /// Too much of something.
+    Full(String),
+    /// The disk of a keeper was seen with more starts.
+    OldDisk {
+        /// How many.
+        boots: u64,
+    },
+}
+
+impl std::fmt::Display for Reason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Reason::NoSession => write!(f, "there is no such session, or it has ended"),
+            Reason::Superseded { incarnation } => {
+                write!(f, "process {incarnation} of the same name is there and this one is older")
+            }
+            Reason::NotFree => write!(f, "the duty is not free"),
+            Reason::NotTheOwner => write!(f, "that term is over"),
+            Reason::Full(what) => write!(f, "no room: {what}"),
+            Reason::OldDisk { boots } => write!(f, "this disk was seen with {boots} starts already"),
+        }
+    }
+}
+
+/// What a member is told of one duty.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seat {
+    /// The duty.
+    pub duty: DutyId,
+    /// Tokens below are refused.
+    pub floor: Token,
+    /// The owner, if there is one.
+    pub owner: Option<Owner>,
+}
+
+/// What a member is told of all duties, at a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct View {
+    /// The revision of the last change that it shows.
+    pub revision: Revision,
+    /// The duties.
+    pub seats: Vec<Seat>,
+}
+
+/// A snapshot that this program cannot read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SnapshotFault(pub String);
+
+impl std::fmt::Display for SnapshotFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the snapshot cannot be read: {}", self.0)
+    }
+}
+
+impl std::error::Error for SnapshotFault {}
+
+impl State {
+    /// A fleet without members. `first_token` is above every token of an earlier installation.
+    pub fn new(first_token: u64) -> State {
+        State {
+            revision: 0,
+            seats_revision: 0,
+            next_token: first_token.max(1),
+            sessions: BTreeMap::new(),
+            names: BTreeMap::new(),
+            duties: BTreeMap::new(),
+            keepers: BTreeMap::new(),
+        }
+    }
+
+    /// The last entry that was applied.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The last entry that changed who owns what or what is fenced.
+    pub fn seats_revision(&self) -> Revision {
+        self.seats_revision
+    }
+
+    /// The members that are there.
+    pub fn sessions(&self) -> &BTreeMap<SessionId, Session> {
+        &self.sessions
+    }
+
+    /// The duties.
+    pub fn duties(&self) -> &BTreeMap<DutyId, Duty> {
+        &self.duties
+    }
+
+    /// The token that the next grant gets.
+    pub fn next_token(&self) -> Token {
+        Token(self.next_token)
+    }
+
+    /// How often each keeper's disk was started, as far as agreed.
+    pub fn keepers(&self) -> &BTreeMap<u64, u64> {
+        &self.keepers
+    }
+
+    /// How many short lives in a row a member of this name had.
+    pub fn short_lives(&self, name: &str) -> u8 {
+        self.names.get(name).map_or(0, |name| name.short_lives)
+    }
+
+    /// The session of this name that may be renewed.
+    pub fn session_of(&self, name: &str) -> Option<(SessionId, &Session)> {
+        self.sessions
+            .iter()
+            .find(|(_, session)| session.name == name && !session.superseded)
+            .map(|(id, s)| (*id, s))
+    }
+
+    /// Which incarnation took over from a session that may not be renewed any more.
+    pub fn incarnation_of(&self, name: &str) -> u64 {
+        self.names.get(name).map_or(0, |name| name.incarnation)
+    }
+
+    /// What members are told.
+    pub fn view(&self) -> View {
+        let seat =
+            |(id, duty): (&DutyId, &Duty)| Seat { duty: id.clone(), floor: duty.floor, owner: duty.owner };
+        View { revision: self.seats_revision, seats: self.duties.iter().map(seat).collect() }
+    }
+
+    /// Counts an entry of the log that carries no command.
+    pub fn skip(&mut self, index: Revision) {
+        self.revision = self.revision.max(index);
+    }
+
+    /// Applies the entry at this position of the log. One that was applied is not applied again.
+    pub fn apply(&mut self, index: Revision, command: &Command) -> Outcome {
+        if index <= self.revision {
+            return Outcome::Noted;
+        }
+        self.revision = index;
+        match command {
+            Command::Join { name, boot, zone, address, offers, short } => {
+                self.join(index, (name, *boot), zone, address, offers, *short)
+            }
+            Command::Leave { session, short } | Command::End { session, short } => {
+                match self.end(index, *session) {
+                    Some(ended) => {
+                        // A superseded one was counted when it was.
+                        if !ended.superseded {
+                            self.lived(&ended.name, *short);
+                        }
+                        Outcome::Ended(*session)
+                    }
+                    None => Outcome::Refused(Reason::NoSession),
+                }
+            }
+            Command::Settle { session } => match self.sessions.get_mut(session) {
+                Some(there) if !there.superseded => {
+                    there.settled = true;
+                    Outcome::Settled(*session)
+                }
+                _ => Outcome::Refused(Reason::NoSession),
+            },
+            Command::Grant { duty, session, fenced } => self.grant(index, duty, *session, *fenced),
+            Command::Release { duty, token, unsettle } => self.release(index, duty, *token, *unsettle),
+            Command::KeeperStarted { keeper, boots } => {
+                let seen = self.keepers.entry(*keeper).or_default();
+                if *boots < *seen {
+                    return Outcome::Refused(Reason::OldDisk { boots: *seen });
+                }
+                *seen = *boots;
+                Outcome::Noted
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        index: Revision,
+        (name, boot): (&str, u64),
+        zone: &str,
+        address: &str,
+        offers: &[DutyId],
+        short: bool,
+    ) -> Outcome {
+        if let Some((id, session)) = self.session_of(name) {
+            if session.boot == boot {
+                return Outcome::Joined(id, session.incarnation);
+            }
+        }
+        let (sessions, duties, offered, bytes) = LIMITS;
+        let text = [name, zone, address].into_iter().chain(offers.iter().map(|duty| duty.name.as_str()));
+        if name.is_empty() || text.into_iter().any(|text| text.len() > bytes) {
+            return Outcome::Refused(Reason::Full(format!(
+                "a name or an address is empty or over {bytes} bytes"
+            )));
+        }
+        let new = offers.iter().filter(|duty| !self.duties.contains_key(duty)).count();
+        if self.sessions.len() >= sessions || self.duties.len() + new > duties || offers.len() > offered {
+            return Outcome::Refused(Reason::Full(format!(
+                "{sessions} sessions, {duties} duties, {offered} offers"
+            )));
+        }
+        let known = self.names.entry(name.to_owned()).or_default();
+        if known.boots.contains(&boot) && known.boots.last() != Some(&boot) {
+            return Outcome::Refused(Reason::Superseded { incarnation: known.incarnation });
+        }
+        if known.boots.last() != Some(&boot) {
+            known.boots.push(boot);
+            if known.boots.len() > OLD_BOOTS {
+                known.boots.remove(0);
+            }
+        }
+        known.incarnation += 1;
+        let incarnation = known.incarnation;
+        // The older process keeps its duties until its lease is over by its own clock: it may be acting still.
+        let older = self.session_of(name).map(|(id, _)| id);
+        if let Some(older) = older.and_then(|id| self.sessions.get_mut(&id)) {
+            older.superseded = true;
+            self.lived(name, short);
+        }
+        for duty in offers.iter().filter(|duty| !self.duties.contains_key(duty)).cloned().collect::<Vec<_>>()
+        {
+            self.duties.insert(duty, Duty { floor: Token(self.next_token), fenced: index, owner: None });
+            self.seats_revision = index;
+        }
+        let session = Session {
+            name: name.to_owned(),
+            incarnation,
+            boot,
+            zone: zone.to_owned(),
+            address: address.to_owned(),
+            offers: offers.to_vec(),
+            settled: false,
+            superseded: false,
+        };
+        self.sessions.insert(SessionId(index), session);
+        self.forget_names();
+        Outcome::Joined(SessionId(index), incarnation)
+    }
+
+    /// Names without a session are forgotten, the ones with the fewest processes first, when there are very many.
+    fn forget_names(&mut self) {
+        while self.names.len() > 2 * LIMITS.0 {
+            let here = |name: &str| self.sessions.values().any(|session| session.name == name);
+            let gone =
+                self.names.iter().filter(|(name, _)| !here(name)).min_by_key(|(_, name)| name.incarnation);
+            let Some(gone) = gone.map(|(name, _)| name.clone()) else { return };
+            self.names.remove(&gone);
+        }
+    }
+
+    fn lived(&mut self, name: &str, short: bool) {
+        if let Some(name) = self.names.get_mut(name) {
+            name.short_lives = if short { name.short_lives.saturating_add(1) } else { 0 };
+        }
+    }
+
+    fn end(&mut self, index: Revision, id: SessionId) -> Option<Session> {
+        let session = self.sessions.remove(&id)?;
+        let next = Token(self.next_token);
+        for duty in
+            self.duties.values_mut().filter(|duty| duty.owner.is_some_and(|owner| owner.session == id))
+        {
+            *duty = Duty { floor: next, fenced: index, owner: None };
+            self.seats_revision = index;
+        }
+        Some(session)
+    }
+
+    fn grant(&mut self, index: Revision, id: &DutyId, to: SessionId, fenced: Revision) -> Outcome {
+        let able = self.sessions.get(&to).is_some_and(|session| session.may_own(id));
+        let next = self.next_token;
+        let Some(duty) = self.duties.get_mut(id) else { return Outcome::Refused(Reason::NotFree) };
+        if duty.owner.is_some() || duty.fenced != fenced {
+            return Outcome::Refused(Reason::NotFree);
+        }
+        if !able {
+            return Outcome::Refused(Reason::NoSession);
+        }
+        let owner = Owner { session: to, token: Token(next) };
+        *duty = Duty { floor: owner.token, fenced, owner: Some(owner) };
+        self.next_token += 1;
+        self.seats_revision = index;
+        Outcome::Granted(id.clone(), owner)
+    }
+
+    fn release(&mut self, index: Revision, id: &DutyId, token: Token, unsettle: bool) -> Outcome {
+        let next = Token(self.next_token);
+        let Some(duty) = self.duties.get_mut(id) else { return Outcome::Refused(Reason::NotTheOwner) };
+        let Some(owner) = duty.owner.filter(|owner| owner.token == token) else {
+            return Outcome::Refused(Reason::NotTheOwner);
+        };
+        *duty = Duty { floor: next, fenced: index, owner: None };
+        self.seats_revision = index;
+        if let Some(session) = self.sessions.get_mut(&owner.session).filter(|_| unsettle) {
+            session.settled = false;
+        }
+        Outcome::Released(id.clone(), token)
+    }
+
+    /// The bytes of a snapshot: its version, then all.
+    pub fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&(SNAPSHOT_VERSION, self)).unwrap_or_default()
+    }
+
+    /// Reads a snapshot.
+    pub fn restore(bytes: &[u8]) -> Result<State, SnapshotFault> {
+        let fault = |error: postcard::Error| SnapshotFault(error.to_string());
+        let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(fault)?;
+        match version {
+            SNAPSHOT_VERSION => postcard::from_bytes(rest).map_err(fault),
+            _ => {
+                Err(SnapshotFault(format!("it has version {version}, this keeper knows {SNAPSHOT_VERSION}")))
+            }
+        }
+    }
+
+    /// A figure that is the same on two keepers that applied the same, to compare them by (FNV-1a over the snapshot).
+    pub fn digest(&self) -> u64 {
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        self.snapshot().into_iter().fold(0xcbf2_9ce4_8422_2325, step)
+    }
+}
+
+impl Session {
+    /// Whether it may be given this duty.
+    pub fn may_own(&self, duty: &DutyId) -> bool {
+        let here = match &duty.scope {
+            Scope::Fleet | Scope::Set(_) => true,
+            Scope::Zone(zone) => *zone == self.zone,
+        };
+        here && self.settled && !self.superseded && self.offers.contains(duty)
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-duty/src/warden.rs
@@ -0,0 +1,165 @@
+//! What the leading keeper knows besides the log: when it last heard of each session, and what each has seen.
+//!
+//! It is lost with the leadership. A keeper that becomes leader gives every session its full time again and waits
+//! anew for what sessions have seen, so nothing here has to be right for safety except what is written at each step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{Command, DutyId, Micros, Reason, Revision, SessionId, State, Times};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Heard {
+    /// When the session's last renewal was confirmed, or when this keeper first knew of it as leader.
+    at: Micros,
+    /// Since when this keeper has known it as leader.
+    since: Micros,
+    /// Since when it has not been settled, as far as this keeper knows.
+    unsettled: Option<Micros>,
+    /// The last revision of the seats that the member says it has applied.
+    seen: Revision,
+    /// The end of this session was proposed: no renewal is confirmed any more.
+    ending: bool,
+}
+
+/// The leading keeper's account of sessions.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Warden {
+    times: Times,
+    heard: BTreeMap<SessionId, Heard>,
+    settling: BTreeSet<SessionId>,
+    granting: BTreeSet<(DutyId, Revision)>,
+}
+
+impl Warden {
+    /// A keeper that just became leader and has applied all that was agreed before.
+    pub fn new(times: Times, now: Micros, state: &State) -> Warden {
+        let mut warden =
+            Warden { times, heard: BTreeMap::new(), settling: BTreeSet::new(), granting: BTreeSet::new() };
+        warden.applied(now, state);
+        warden
+    }
+
+    /// Entries were applied: sessions may have come and gone.
+    pub fn applied(&mut self, now: Micros, state: &State) {
+        let sessions = state.sessions();
+        self.heard.retain(|id, _| sessions.contains_key(id));
+        self.settling.retain(|id| sessions.get(id).is_some_and(|session| !session.settled));
+        self.granting.retain(|(duty, fenced)| {
+            state.duties().get(duty).is_some_and(|duty| duty.owner.is_none() && duty.fenced == *fenced)
+        });
+        for (id, session) in sessions {
+            let new = Heard { at: now, since: now, unsettled: Some(now), seen: 0, ending: false };
+            let heard = self.heard.entry(*id).or_insert(new);
+            heard.unsettled = (!session.settled).then(|| heard.unsettled.unwrap_or(now));
+        }
+    }
+
+    /// A member asked for its renewal, and a majority has confirmed since that this keeper leads.
+    ///
+    /// Its lease is counted by itself from before it asked and here from now, which is later.
+    pub fn renewed(
+        &mut self,
+        id: SessionId,
+        seen: Revision,
+        now: Micros,
+        state: &State,
+    ) -> Result<(), Reason> {
+        let session = state.sessions().get(&id).ok_or(Reason::NoSession)?;
+        if session.superseded {
+            return Err(Reason::Superseded { incarnation: state.incarnation_of(&session.name) });
+        }
+        let heard = self.heard.get_mut(&id).ok_or(Reason::NoSession)?;
+        if heard.ending {
+            return Err(Reason::NoSession);
+        }
+        heard.at = now;
+        heard.seen = heard.seen.max(seen);
+        Ok(())
+    }
+
+    /// Whether the session of this name would be a short life if it ended now.
+    pub fn short(&self, name: &str, now: Micros, state: &State) -> bool {
+        let heard = state.session_of(name).and_then(|(id, _)| self.heard.get(&id));
+        heard.is_some_and(|heard| now.saturating_sub(heard.since) < self.times.short)
+    }
+
+    /// What is to be proposed now. Each is given out once; see [`Warden::dropped`].
+    pub fn due(&mut self, now: Micros, state: &State) -> Vec<Command> {
+        let mut due = Vec::new();
+        for (id, heard) in &mut self.heard {
+            let age = now.saturating_sub(heard.since);
+            if !heard.ending && now.saturating_sub(heard.at) > self.times.keepers_wait() {
+                heard.ending = true;
+                due.push(Command::End { session: *id, short: age < self.times.short });
+                continue;
+            }
+            let Some(session) = state.sessions().get(id).filter(|session| !session.settled) else { continue };
+            let stays = now.saturating_sub(heard.unsettled.unwrap_or(now));
+            let stayed = stays >= self.times.stay_after(state.short_lives(&session.name));
+            if stayed && !heard.ending && !session.superseded && self.settling.insert(*id) {
+                due.push(Command::Settle { session: *id });
+            }
+        }
+        let mut load: BTreeMap<SessionId, usize> = BTreeMap::new();
+        for owner in state.duties().values().filter_map(|duty| duty.owner) {
+            *load.entry(owner.session).or_default() += 1;
+        }
+        for (id, duty) in state.duties().iter().filter(|(_, duty)| duty.owner.is_none()) {
+            if !self.fence_is_seen(duty.fenced, state) || self.granting.contains(&(id.clone(), duty.fenced)) {
+                continue;
+            }
+            if let Some(session) = self.candidate(id, &load, now, state) {
+                *load.entry(session).or_default() += 1;
+                self.granting.insert((id.clone(), duty.fenced));
+                due.push(Command::Grant { duty: id.clone(), session, fenced: duty.fenced });
+            }
+        }
+        due
+    }
+
+    /// A proposal did not get into the log.
+    pub fn dropped(&mut self, command: &Command) {
+        match command {
+            Command::End { session, .. } => {
+                if let Some(heard) = self.heard.get_mut(session) {
+                    heard.ending = false;
+                }
+            }
+            Command::Settle { session } => {
+                self.settling.remove(session);
+            }
+            Command::Grant { duty, fenced, .. } => {
+                self.granting.remove(&(duty.clone(), *fenced));
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether every session that is older than the fence knows of it. One that began later learnt of it when it began.
+    fn fence_is_seen(&self, fenced: Revision, state: &State) -> bool {
+        let knows = |id: &SessionId| self.heard.get(id).is_some_and(|heard| heard.seen >= fenced);
+        state.sessions().keys().all(|id| id.0 >= fenced || knows(id))
+    }
+
+    /// Who is to own a duty: heard of lately, with the fewest duties, and among those by rendezvous.
+    fn candidate(
+        &self,
+        duty: &DutyId,
+        load: &BTreeMap<SessionId, usize>,
+        now: Micros,
+        state: &State,
+    ) -> Option<SessionId> {
+        let fresh = |id: &SessionId| {
+            let heard = self.heard.get(id);
+            heard.is_some_and(|heard| !heard.ending && now.saturating_sub(heard.at) < self.times.lease / 2)
+        };
+        let able = state.sessions().iter().filter(|(id, session)| session.may_own(duty) && fresh(id));
+        able.map(|(id, session)| {
+            let key = postcard::to_stdvec(&(duty, &session.name)).unwrap_or_default();
+            let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+            (load.get(id).copied().unwrap_or(0), key.iter().fold(0xcbf2_9ce4_8422_2325, step), *id)
+        })
+        .min()
+        .map(|(_, _, id)| id)
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/model.rs
@@ -0,0 +1,305 @@
+//! The ownership protocol, checked in every order of events up to a bound, on the very modules that the processes run.
+//!
+//! The keepers are one agreed log here (what Raft gives); their leader may change at any moment. Time is a counter
+//! that all see. Messages may be delivered in any order, late or never. An owner may stop between its look at the
+//! clock and the effect.
+
+use std::collections::BTreeSet;
+
+use cairncrank_duty::{Command, DutyId, Flaw, Holder, Outcome, SessionId, State, Times, Token, View, Warden};
+use stateright::{Checker, Model, Property};
+
+/// Bounds of the search.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// How far the clock goes.
+    pub time: u64,
+    /// Members, the first of which owns the duty at the start.
+    pub members: u64,
+    /// Messages on their way at once.
+    pub messages: usize,
+    /// How often the leading keeper changes.
+    pub leaders: u8,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { time: 5, members: 2, messages: 3, leaders: 1 }
+    }
+}
+
+/// The protocol with a flaw or without.
+#[derive(Debug, Clone)]
+pub struct Ownership {
+    /// The flaw put in.
+    pub flaw: Option<Flaw>,
+    /// How far to look.
+    pub bounds: Bounds,
+}
+
+/// A message on its way.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Message {
+    /// The keepers' answer to what was asked then, with the revision and the floor and owner that it shows.
+    Answer(usize, u64, Option<Told>),
+    /// An effect of a term, to a receiver.
+    Effect(usize, Token),
+}
+
+type Told = (u64, Token, Option<(SessionId, Token)>);
+
+/// All there is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Fleet {
+    now: u64,
+    index: u64,
+    state: State,
+    warden: Warden,
+    leaders: u8,
+    members: Vec<Member>,
+    net: BTreeSet<Message>,
+    late: bool,
+    doubly_owned: bool,
+    handed_over: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Member {
+    id: SessionId,
+    holder: Holder,
+    asked: Option<u64>,
+    looked: Option<Token>,
+}
+
+/// What may happen next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The clock goes on.
+    Tick,
+    /// A member asks for its renewal, and the keepers confirm it. (If it were long on its way to them, they would
+    /// count from later: that is on the safe side, so it is left out.)
+    Ask(usize),
+    /// A message arrives.
+    Deliver(Message),
+    /// The leading keeper does what is due.
+    Decide,
+    /// Another keeper leads.
+    NewLeader,
+    /// An owner looks whether it may act.
+    Look(usize),
+    /// An owner that has looked acts, towards a receiver.
+    Act(usize, usize),
+}
+
+fn duty() -> DutyId {
+    DutyId::fleet("list")
+}
+
+fn told(view: &View) -> Told {
+    let seat = &view.seats[0];
+    (view.revision, seat.floor, seat.owner.map(|owner| (owner.session, owner.token)))
+}
+
+fn view((revision, floor, owner): Told) -> View {
+    let owner = owner.map(|(session, token)| cairncrank_duty::Owner { session, token });
+    View { revision, seats: vec![cairncrank_duty::Seat { duty: duty(), floor, owner }] }
+}
+
+impl Fleet {
+    fn apply(&mut self, command: &Command) -> Outcome {
+        self.index += 1;
+        let outcome = self.state.apply(self.index, command);
+        self.warden.applied(self.now, &self.state);
+        if matches!(outcome, Outcome::Granted(..)) && self.state.next_token() > Token(2) {
+            self.handed_over = true;
+        }
+        outcome
+    }
+
+    /// The highest token that was granted.
+    fn newest(&self) -> Token {
+        Token(self.state.next_token().0 - 1)
+    }
+
+    fn send(&mut self, message: Message, bounds: Bounds) -> Option<()> {
+        (self.net.len() < bounds.messages).then(|| {
+            self.net.insert(message);
+        })
+    }
+}
+
+impl Model for Ownership {
+    type State = Fleet;
+    type Action = Event;
+
+    /// Members that joined, one of them the owner of the only duty.
+    fn init_states(&self) -> Vec<Fleet> {
+        let times =
+            Times { lease: 2, renew: 1, call: 1, stay: 0, short: 0, skew_ppm: 0, election: 1, heartbeat: 1 };
+        let state = State::new(1);
+        let warden = Warden::new(times, 0, &state);
+        let mut fleet = Fleet {
+            now: 0,
+            index: 0,
+            state,
+            warden,
+            leaders: 0,
+            members: Vec::new(),
+            net: BTreeSet::new(),
+            late: false,
+            doubly_owned: false,
+            handed_over: false,
+        };
+        for boot in 0..self.bounds.members {
+            let name = format!("m{boot}");
+            let offers = vec![duty()];
+            let join = Command::Join {
+                name,
+                boot,
+                zone: String::new(),
+                address: String::new(),
+                offers,
+                short: false,
+            };
+            let Outcome::Joined(id, incarnation) = fleet.apply(&join) else { return Vec::new() };
+            let mut holder = Holder::new(times).with_flaw(self.flaw);
+            holder.joined(id, incarnation, 0, 0, fleet.state.view());
+            fleet.members.push(Member { id, holder, asked: None, looked: None });
+        }
+        for _ in 0..2 {
+            for command in fleet.warden.due(0, &fleet.state) {
+                fleet.apply(&command);
+            }
+        }
+        let view = fleet.state.view();
+        for member in &mut fleet.members {
+            member.holder.told(member.id, view.clone());
+        }
+        vec![fleet]
+    }
+
+    fn actions(&self, fleet: &Fleet, actions: &mut Vec<Event>) {
+        if fleet.now < self.bounds.time {
+            actions.push(Event::Tick);
+        }
+        if fleet.leaders < self.bounds.leaders {
+            actions.push(Event::NewLeader);
+        }
+        if !fleet.warden.clone().due(fleet.now, &fleet.state).is_empty() {
+            actions.push(Event::Decide);
+        }
+        actions.extend(fleet.net.iter().cloned().map(Event::Deliver));
+        for (at, member) in fleet.members.iter().enumerate() {
+            if member.asked.is_none_or(|asked| asked < fleet.now) {
+                actions.push(Event::Ask(at));
+            }
+            let owner = member
+                .holder
+                .owned(fleet.now)
+                .first()
+                .is_some_and(|(_, token)| member.looked != Some(*token));
+            if owner {
+                actions.push(Event::Look(at));
+            }
+            if member.looked.is_some() {
+                actions.extend((0..fleet.members.len()).filter(|to| *to != at).map(|to| Event::Act(at, to)));
+            }
+        }
+    }
+
+    fn next_state(&self, fleet: &Fleet, event: Event) -> Option<Fleet> {
+        let mut fleet = fleet.clone();
+        let now = fleet.now;
+        match event {
+            Event::Tick => fleet.now += 1,
+            Event::NewLeader => {
+                fleet.leaders += 1;
+                let times = Times { lease: 2, ..Times::default() };
+                fleet.warden =
+                    Warden::new(Times { skew_ppm: 0, stay: 0, short: 0, ..times }, now, &fleet.state);
+            }
+            Event::Decide => {
+                for command in fleet.warden.due(now, &fleet.state) {
+                    fleet.apply(&command);
+                }
+            }
+            Event::Ask(at) => {
+                let member = &mut fleet.members[at];
+                member.asked = Some(now);
+                let (id, seen) = (member.id, member.holder.seen());
+                fleet.warden.renewed(id, seen, now, &fleet.state).ok()?;
+                let news = (fleet.state.seats_revision() > seen).then(|| told(&fleet.state.view()));
+                fleet.send(Message::Answer(at, now, news), self.bounds)?;
+            }
+            Event::Look(at) => {
+                let (_, token) = fleet.members[at].holder.owned(now).into_iter().next()?;
+                if fleet.members[at].holder.may_act(&duty(), token, now) {
+                    fleet.members[at].looked = Some(token);
+                    fleet.doubly_owned |= token < fleet.newest();
+                }
+            }
+            Event::Act(at, to) => {
+                let token = fleet.members[at].looked?;
+                if self.flaw == Some(Flaw::NoLookAtTheClock) {
+                    fleet.doubly_owned |= token < fleet.newest();
+                } else {
+                    fleet.members[at].looked = None;
+                }
+                fleet.send(Message::Effect(to, token), self.bounds)?;
+            }
+            Event::Deliver(message) => {
+                fleet.net.remove(&message);
+                match message {
+                    Message::Answer(at, asked, news) => {
+                        let member = &mut fleet.members[at];
+                        member.holder.renewed(member.id, asked, now, news.map(view));
+                    }
+                    Message::Effect(at, token) => {
+                        if fleet.members[at].holder.take(&duty(), token, now).is_ok() {
+                            fleet.late |= token < fleet.newest();
+                        }
+                        fleet.members[at].holder.forget_counts();
+                    }
+                }
+            }
+        }
+        Some(fleet)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no effect of an ended term is taken", |_, fleet: &Fleet| !fleet.late),
+            Property::always("no owner acts when a later term was granted", |_, fleet: &Fleet| {
+                !fleet.doubly_owned
+            }),
+            Property::sometimes("a duty is handed over", |_, fleet: &Fleet| fleet.handed_over),
+        ]
+    }
+}
+
+/// What a search found.
+#[derive(Debug, Clone)]
+pub struct Searched {
+    /// Different states.
+    pub states: usize,
+    /// The longest row of events.
+    pub depth: usize,
+    /// A property that does not hold, and how many events lead there.
+    pub broken: Option<(&'static str, usize)>,
+    /// Whether a hand-over was reached at all.
+    pub handed_over: bool,
+}
+
+/// Searches all orders of events within the bounds.
+pub fn search(flaw: Option<Flaw>, bounds: Bounds, threads: usize) -> Searched {
+    let model = Ownership { flaw, bounds };
+    let checker = model.checker().threads(threads).spawn_bfs().join();
+    let broken = ["no effect of an ended term is taken", "no owner acts when a later term was granted"];
+    let found = |name: &'static str| checker.discovery(name).map(|path| (name, path.into_actions().len()));
+    Searched {
+        states: checker.unique_state_count(),
+        depth: checker.max_depth(),
+        broken: broken.into_iter().find_map(found),
+        handed_over: checker.discovery("a duty is handed over").is_some(),
+    }
+}
--- a/crates/cairncrank-lab/src/lib.rs
+++ b/crates/cairncrank-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 pub mod day;
 pub mod figures;
+pub mod fleet;
 pub mod report;
 pub mod router;
 pub mod run;
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+use cairncrank_duty::Flaw;
+use cairncrank_lab::fleet::model::{search, Bounds};
 use cairncrank_lab::report::{compare, Results};
 use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
@@ -50,6 +52,24 @@
         /// The results after.
         after: PathBuf,
     },
+    /// Checks the ownership protocol in every order of events up to a bound.
+    Model {
+        /// Members.
+        #[arg(long, default_value_t = 2)]
+        members: u64,
+        /// How far the clock goes.
+        #[arg(long, default_value_t = 5)]
+        time: u64,
+        /// Messages on their way at once.
+        #[arg(long, default_value_t = 3)]
+        messages: usize,
+        /// A flaw to put in, or `list`.
+        #[arg(long)]
+        seeded_bug: Option<String>,
+        /// Threads.
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+    },
     /// Lists experiments.
     List {
         /// Where they are.
@@ -66,6 +86,30 @@
     Sockets,
 }
 
+/// The flaw of this name; `list` names them.
+fn flaw(name: Option<&str>) -> Result<Option<Flaw>, String> {
+    let names: Vec<&str> = Flaw::names().iter().map(|(name, _)| *name).collect();
+    let Some(name) = name else { return Ok(None) };
+    match Flaw::names().iter().find(|(known, _)| *known == name) {
+        Some((_, flaw)) => Ok(Some(*flaw)),
+        None => Err(format!("--seeded-bug: wanted one of {}", names.join(", "))),
+    }
+}
+
+fn model(bounds: Bounds, bug: Option<&str>, threads: usize) -> Result<(), String> {
+    let start = Instant::now();
+    let found = search(flaw(bug)?, bounds, threads);
+    let took = start.elapsed().as_secs_f64();
+    println!("{} states, {} events deep, {took:.1} s", found.states, found.depth);
+    match (found.broken, found.handed_over) {
+        (Some((property, events)), _) => Err(format!("does not hold after {events} events: {property}")),
+        (None, false) => {
+            Err("no duty was handed over within these bounds, so nothing was checked".to_owned())
+        }
+        (None, true) => Ok(()),
+    }
+}
+
 fn read(file: &Path) -> Result<Experiment, String> {
     let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
     spec::read(&file.display().to_string(), &text).map_err(|fault| fault.to_string())
@@ -155,6 +199,13 @@
             print!("{}", compare(&before, &after));
             Ok(())
         }),
+        Command::Model { members, time, messages, seeded_bug, threads } => match seeded_bug.as_deref() {
+            Some("list") => {
+                Flaw::names().iter().for_each(|(name, _)| println!("{name}"));
+                Ok(())
+            }
+            bug => model(Bounds { members, time, messages, ..Bounds::default() }, bug, threads),
+        },
         Command::List { folder } => list(&folder),
     };
     match done {
