--- a/crates/cairncrank-duty/src/machine.rs
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -7,7 +7,7 @@
 use crate::{Command, DutyId, Revision, Scope, SessionId, Token};
 
 /// Bounds on what the state may hold: sessions, duties, duties offered by one member, bytes of a name or an address.
-pub const LIMITS: (usize, usize, usize, usize) = (2_048, 4_096, 512, 128);
+pub const LIMITS: (usize, usize, usize, usize) = (2_048, 4_096, 128, 128);
 
 /// How many processes of one name are remembered, so that an old one is known when it comes again.
 const OLD_BOOTS: usize = 8;
@@ -69,6 +69,7 @@
 pub struct State {
     revision: Revision,
     seats_revision: Revision,
+    roster_revision: Revision,
     next_token: u64,
     sessions: BTreeMap<SessionId, Session>,
     names: BTreeMap<String, Name>,
@@ -171,6 +172,7 @@
         State {
             revision: 0,
             seats_revision: 0,
+            roster_revision: 0,
             next_token: first_token.max(1),
             sessions: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -189,6 +191,11 @@
         self.seats_revision
     }
 
+    /// The last entry that changed who is there.
+    pub fn roster_revision(&self) -> Revision {
+        self.roster_revision
+    }
+
     /// The members that are there.
     pub fn sessions(&self) -> &BTreeMap<SessionId, Session> {
         &self.sessions
@@ -342,6 +349,7 @@
             superseded: false,
         };
         self.sessions.insert(SessionId(index), session);
+        self.roster_revision = index;
         self.forget_names();
         Outcome::Joined(SessionId(index), incarnation)
     }
@@ -365,6 +373,7 @@
 
     fn end(&mut self, index: Revision, id: SessionId) -> Option<Session> {
         let session = self.sessions.remove(&id)?;
+        self.roster_revision = index;
         let next = Token(self.next_token);
         for duty in
             self.duties.values_mut().filter(|duty| duty.owner.is_some_and(|owner| owner.session == id))
--- /dev/null
+++ b/crates/cairncrank-fleet/src/effects.rs
@@ -0,0 +1,199 @@
+//! Effects of owners: sent with their token, after a look at the clock immediately before each; taken or refused.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Flaw, Token};
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use crate::clock;
+use crate::member::Member;
+use crate::wire::{check_hello, Effect, EffectAnswer, Hello, Link, Peer, Turned, Welcome, Who, SCHEMA};
+
+/// The most connections of owners that a receiver has.
+const MOST_OWNERS: usize = 256;
+/// How long an owner waits for a receiver's answer before it connects anew.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// Takes connections of owners for as long as the listener lasts. `apply` gets what was taken, in the order taken.
+pub async fn receive(member: Member, listener: TcpListener, apply: impl Fn(Effect) + 'static) {
+    let apply = Rc::new(apply);
+    let room = Rc::new(Semaphore::new(MOST_OWNERS));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, most likely: what is open may end meanwhile.
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let (member, apply, room) = (member.clone(), apply.clone(), room.clone());
+        tokio::task::spawn_local(async move {
+            let Ok(_room) = room.try_acquire() else { return };
+            if let Err(error) = of_one_owner(&member, stream, &*apply).await {
+                tracing::debug!(%error, "a connection of an owner ended");
+            }
+        });
+    }
+}
+
+async fn of_one_owner(
+    member: &Member,
+    stream: tokio::net::TcpStream,
+    apply: &impl Fn(Effect),
+) -> io::Result<()> {
+    let (mut link, hello) = Link::accept(stream).await?;
+    let owner = match (check_hello(&hello, &member.settings().installation), hello.who) {
+        (Ok(()), Who::Owner { name, .. }) => name,
+        (Err(why), _) => return link.welcome(&Welcome::Turned(why)).await,
+        (Ok(()), _) => return link.welcome(&Welcome::Turned(Turned::WrongDoor)).await,
+    };
+    link.welcome(&Welcome::Fine { name: member.settings().name.clone() }).await?;
+    loop {
+        let effect: Effect = link.next().await?;
+        let now = clock::now();
+        let verdict = member.holder().borrow_mut().take(&effect.duty, effect.token, now);
+        let what = serde_json::json!({
+            "duty": effect.duty.to_string(), "token": effect.token.0, "version": effect.version, "from": owner,
+        });
+        let answer = match verdict {
+            Ok(()) => {
+                member.record().put(now, "taken", what);
+                apply(effect);
+                EffectAnswer::Taken
+            }
+            Err(refusal) => {
+                member.record().put(now, "refused", what);
+                tracing::info!(from = owner, duty = %effect.duty, token = effect.token.0, %refusal, "effect refused");
+                EffectAnswer::Refused(refusal)
+            }
+        };
+        link.send(&answer).await?;
+    }
+}
+
+/// What an owner has to say in one term; the latest counts.
+#[derive(Debug, Clone, Default)]
+pub struct Said {
+    /// Counted from one within the term.
+    pub version: u64,
+    /// What.
+    pub body: Rc<Vec<u8>>,
+}
+
+/// The effects of one term, sent to every other member. Ends when dropped.
+#[derive(Debug)]
+pub struct Publisher {
+    said: watch::Sender<Said>,
+    tasks: BTreeMap<Peer, JoinHandle<()>>,
+    member: Member,
+    duty: DutyId,
+    token: Token,
+}
+
+impl Publisher {
+    /// For the term that this member holds with this token.
+    pub fn new(member: &Member, duty: DutyId, token: Token) -> Publisher {
+        Publisher {
+            said: watch::Sender::default(),
+            tasks: BTreeMap::new(),
+            member: member.clone(),
+            duty,
+            token,
+        }
+    }
+
+    /// The term's token.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+
+    /// Says something to all members that are known now. What was said before and not sent yet is left out.
+    pub fn say(&mut self, body: Vec<u8>) {
+        let own = &self.member.settings().name;
+        let peers: Vec<Peer> = self.member.roster().into_iter().filter(|peer| peer.name != *own).collect();
+        self.tasks.retain(|peer, task| {
+            let there = peers.binary_search(peer).is_ok() && !task.is_finished();
+            if !there {
+                task.abort();
+            }
+            there
+        });
+        self.said.send_modify(|said| *said = Said { version: said.version + 1, body: Rc::new(body) });
+        for peer in peers {
+            self.tasks.entry(peer.clone()).or_insert_with(|| {
+                let (member, said) = (self.member.clone(), self.said.subscribe());
+                tokio::task::spawn_local(to_one_receiver(member, peer, self.duty.clone(), self.token, said))
+            });
+        }
+    }
+}
+
+impl Drop for Publisher {
+    fn drop(&mut self) {
+        self.tasks.values().for_each(JoinHandle::abort);
+    }
+}
+
+async fn to_one_receiver(
+    member: Member,
+    peer: Peer,
+    duty: DutyId,
+    token: Token,
+    mut said: watch::Receiver<Said>,
+) {
+    let Ok(address) = peer.address.parse::<SocketAddr>() else { return };
+    said.mark_changed();
+    loop {
+        if let Err(error) = on_one_link(&member, address, &duty, token, &mut said).await {
+            tracing::debug!(to = peer.name, %error, "a receiver is not reached");
+        }
+        if said.has_changed().is_err() {
+            return;
+        }
+        sleep(Duration::from_millis(100)).await;
+        // What was sent last may not have arrived.
+        said.mark_changed();
+    }
+}
+
+async fn on_one_link(
+    member: &Member,
+    address: SocketAddr,
+    duty: &DutyId,
+    token: Token,
+    said: &mut watch::Receiver<Said>,
+) -> io::Result<()> {
+    let settings = member.settings();
+    let incarnation = member.holder().borrow().last_session().map_or(0, |session| session.incarnation);
+    let who = Who::Owner { name: settings.name.clone(), incarnation };
+    let hello = Hello { schema: SCHEMA, installation: settings.installation.clone(), who };
+    let (mut link, _) = Link::connect(address, settings.bind, &hello).await?;
+    let once = member.holder().borrow().flaw() == Some(Flaw::NoLookAtTheClock);
+    let mut looked = false;
+    loop {
+        said.changed().await.map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        let Said { version, body } = said.borrow_and_update().clone();
+        let effect = Effect { duty: duty.clone(), token, version, body: body.to_vec() };
+        let packed = crate::wire::pack(&effect)?;
+        // The look at the clock is the last thing before the write.
+        let now = clock::now();
+        let skip_look = once && looked;
+        if !skip_look && !member.holder().borrow().may_act(duty, token, now) {
+            continue;
+        }
+        looked = true;
+        member.record().put(now, "acted", serde_json::json!({"duty": duty.to_string(), "token": token.0}));
+        link.send_packed(packed).await?;
+        match timeout(ANSWER, link.next::<EffectAnswer>()).await?? {
+            EffectAnswer::Taken => {}
+            EffectAnswer::Refused(why) => {
+                tracing::warn!(duty = %duty, token = token.0, %why, "an effect of this process was refused");
+            }
+        }
+    }
+}
--- a/crates/cairncrank-fleet/src/lib.rs
+++ b/crates/cairncrank-fleet/src/lib.rs
@@ -1,1 +1,10 @@
+//! Being a member of a fleet: the messages between members and keepers, framed connections, the session, and effects
+//! of owners that reach receivers with their token.
+//!
+//! Nothing here is on the way of a request: a member that reaches no keeper goes on as if there were no fleet.
 
+pub mod clock;
+pub mod effects;
+pub mod member;
+pub mod record;
+pub mod wire;
--- /dev/null
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -0,0 +1,306 @@
+//! A member's session with the keepers: joins, renews, hears news, and starts over where it has to.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Holder, Reason, Revision, SessionId, Times, Token};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+
+use crate::clock;
+use crate::record::Recorder;
+use crate::wire::{turned_away, Answer, Ask, FromKeeper, Hello, Link, Peer, Request, Who, SCHEMA};
+
+/// What a member is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The installation.
+    pub installation: String,
+    /// The member's name.
+    pub name: String,
+    /// Its zone, or nothing.
+    pub zone: String,
+    /// Where other members reach it.
+    pub address: String,
+    /// The keepers, by number.
+    pub keepers: BTreeMap<u64, SocketAddr>,
+    /// The address that connections come from.
+    pub bind: Option<IpAddr>,
+    /// The times, the same as the keepers'.
+    pub times: Times,
+    /// What it may be given.
+    pub offers: Vec<DutyId>,
+    /// Seed of its pauses and of the number of its process.
+    pub seed: u64,
+}
+
+/// A member of the fleet. Clones are the same member.
+#[derive(Debug, Clone)]
+pub struct Member {
+    settings: Rc<Settings>,
+    holder: Rc<RefCell<Holder>>,
+    roster: Rc<RefCell<(Revision, Vec<Peer>)>>,
+    /// Changes whenever what is owned or known may have changed.
+    changed: watch::Sender<u64>,
+    leaving: Rc<Notify>,
+    record: Recorder,
+}
+
+/// Why a member gave up being one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ended {
+    /// It gave its session back.
+    Left,
+    /// A later process of the same name is there.
+    Superseded {
+        /// Which.
+        incarnation: u64,
+    },
+    /// The keepers do not want it.
+    Refused(String),
+}
+
+/// What became of a connection to a keeper.
+enum Next {
+    /// Another keeper, this one if it is known.
+    Elsewhere(Option<u64>),
+    End(Ended),
+}
+
+impl Member {
+    /// A member that has no session yet.
+    pub fn new(settings: Settings, holder: Holder, record: Recorder) -> Member {
+        Member {
+            settings: Rc::new(settings),
+            holder: Rc::new(RefCell::new(holder)),
+            roster: Rc::default(),
+            changed: watch::Sender::new(0),
+            leaving: Rc::default(),
+            record,
+        }
+    }
+
+    /// What it was told at its start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Its account of session and tokens.
+    pub fn holder(&self) -> &RefCell<Holder> {
+        &self.holder
+    }
+
+    /// Where it records.
+    pub fn record(&self) -> &Recorder {
+        &self.record
+    }
+
+    /// Changes whenever what is owned may have changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The members as last heard. Only owners hear of them.
+    pub fn roster(&self) -> Vec<Peer> {
+        self.roster.borrow().1.clone()
+    }
+
+    /// The terms that this member holds now.
+    pub fn owned(&self) -> Vec<(DutyId, Token)> {
+        self.holder.borrow().owned(clock::now())
+    }
+
+    /// Whether an effect of that term may be done at this moment, by a clock that is read here.
+    pub fn may_act(&self, duty: &DutyId, token: Token) -> bool {
+        self.holder.borrow().may_act(duty, token, clock::now())
+    }
+
+    /// Gives the session back, and with it all duties; [`Member::run`] then ends.
+    pub fn leave(&self) {
+        self.leaving.notify_one();
+    }
+
+    /// Stays a member for as long as it is let.
+    pub async fn run(&self) -> Ended {
+        let mut random = fastrand::Rng::with_seed(self.settings.seed);
+        let boot = random.u64(..);
+        let numbers: Vec<u64> = self.settings.keepers.keys().copied().collect();
+        let mut at = random.usize(..numbers.len().max(1));
+        let mut failures = 0u32;
+        loop {
+            let Some(&keeper) = numbers.get(at % numbers.len().max(1)) else {
+                return Ended::Refused("no keeper is named".to_owned());
+            };
+            let started = Instant::now();
+            let next = tokio::select! {
+                next = self.with_keeper(keeper, boot) => next,
+                () = self.leaving.notified() => {
+                    self.holder.borrow_mut().gone();
+                    return Ended::Left;
+                }
+            };
+            self.changed.send_modify(|count| *count += 1);
+            if started.elapsed() > Duration::from_micros(self.settings.times.lease) {
+                failures = 0;
+            }
+            let next = match next {
+                Ok(Next::End(ended)) => {
+                    self.holder.borrow_mut().gone();
+                    return ended;
+                }
+                Ok(Next::Elsewhere(leader)) => leader,
+                Err(error) => {
+                    tracing::debug!(keeper, %error, "no keeper here");
+                    None
+                }
+            };
+            match next.and_then(|leader| numbers.iter().position(|number| *number == leader)) {
+                Some(leader) if numbers[leader] != keeper => at = leader,
+                _ => at += 1,
+            }
+            // Full jitter over a span that grows to a fourth of the lease: the first tries are quick, since a session
+            // may be at stake, and a fleet that lost its keepers does not come back in step.
+            failures = (failures + 1).min(8);
+            let span = (10_000u64 << failures).min(self.settings.times.lease / 4);
+            sleep(Duration::from_micros(random.u64(1..=span))).await;
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        let who = Who::Member { name: self.settings.name.clone() };
+        Hello { schema: SCHEMA, installation: self.settings.installation.clone(), who }
+    }
+
+    async fn with_keeper(&self, keeper: u64, boot: u64) -> io::Result<Next> {
+        let settings = &self.settings;
+        let Some(address) = settings.keepers.get(&keeper) else { return Ok(Next::Elsewhere(None)) };
+        let call = Duration::from_micros(settings.times.call);
+        let hello = self.hello();
+        let connecting = tokio::time::timeout(call, Link::connect(*address, settings.bind, &hello));
+        let mut link = match connecting.await? {
+            Ok((link, _)) => link,
+            Err(error) => match turned_away(&error) {
+                Some(why) => {
+                    tracing::warn!(keeper, %why, "a keeper turned this member away");
+                    return Ok(Next::Elsewhere(None));
+                }
+                None => return Err(error),
+            },
+        };
+        let mut id = 0;
+        loop {
+            let now = clock::now();
+            // A session that is over by this clock is given up: what was known may be old, and a new one learns anew.
+            let session = self.holder.borrow().session(now).map(|session| session.id);
+            let ask = match session {
+                Some(session) => Ask::Renew {
+                    session,
+                    seen: self.holder.borrow().seen(),
+                    roster: self.holder.borrow().owned(now).first().map(|_| self.roster.borrow().0),
+                },
+                None => Ask::Join {
+                    name: settings.name.clone(),
+                    boot,
+                    zone: settings.zone.clone(),
+                    address: settings.address.clone(),
+                    offers: settings.offers.clone(),
+                },
+            };
+            id += 1;
+            let asked = clock::now();
+            link.send(&Request { id, ask }).await?;
+            let mut news = false;
+            let deadline = Instant::now() + call;
+            let answer = loop {
+                match timeout_at(deadline, link.next()).await?? {
+                    FromKeeper::Answer(of, answer) if of == id => break answer,
+                    FromKeeper::Answer(..) => {}
+                    FromKeeper::News(of, view) => news |= self.hear(of, view),
+                }
+            };
+            if let Some(next) = self.learn(session, asked, answer) {
+                return Ok(next);
+            }
+            if news {
+                continue;
+            }
+            // The next renewal is due by this clock, counted from when the last one was asked for.
+            let due = Instant::now()
+                + Duration::from_micros((asked + settings.times.renew).saturating_sub(clock::now()));
+            loop {
+                tokio::select! {
+                    message = link.next() => match message? {
+                        FromKeeper::News(of, view) => {
+                            if self.hear(of, view) {
+                                break;
+                            }
+                        }
+                        FromKeeper::Answer(..) => {}
+                    },
+                    () = sleep_until(due) => break,
+                    () = self.leaving.notified() => {
+                        if let Some(session) = session {
+                            // What is known to be given back is not used while the keepers are told.
+                            self.holder.borrow_mut().gone();
+                            id += 1;
+                            link.send(&Request { id, ask: Ask::Leave { session } }).await?;
+                            let _ = tokio::time::timeout(call, link.next::<FromKeeper>()).await;
+                        }
+                        return Ok(Next::End(Ended::Left));
+                    }
+                }
+            }
+        }
+    }
+
+    fn hear(&self, of: SessionId, view: cairncrank_duty::View) -> bool {
+        let heard = self.holder.borrow_mut().told(of, view);
+        if heard {
+            self.changed.send_modify(|count| *count += 1);
+        }
+        heard
+    }
+
+    /// Takes an answer in; what to do next, unless it is to go on here.
+    fn learn(&self, renewed: Option<SessionId>, asked: u64, answer: Answer) -> Option<Next> {
+        let now = clock::now();
+        match answer {
+            Answer::Joined { session, incarnation, view } => {
+                self.holder.borrow_mut().joined(session, incarnation, asked, now, view);
+                *self.roster.borrow_mut() = (0, Vec::new());
+                let name = &self.settings.name;
+                tracing::info!(name, session = session.0, incarnation, "has a session");
+                self.record.put(
+                    now,
+                    "session",
+                    serde_json::json!({"session": session.0, "incarnation": incarnation}),
+                );
+            }
+            Answer::Renewed { view, roster } => {
+                if let Some(session) = renewed {
+                    self.holder.borrow_mut().renewed(session, asked, now, view);
+                }
+                if let Some(roster) = roster {
+                    *self.roster.borrow_mut() = roster;
+                }
+            }
+            Answer::NotLeading { leader } => return Some(Next::Elsewhere(leader)),
+            Answer::Refused(Reason::Superseded { incarnation }) => {
+                tracing::error!(
+                    incarnation,
+                    "another process of the same name is there; this one is no member any more"
+                );
+                return Some(Next::End(Ended::Superseded { incarnation }));
+            }
+            Answer::Refused(Reason::NoSession) => self.holder.borrow_mut().gone(),
+            Answer::Refused(reason) => return Some(Next::End(Ended::Refused(reason.to_string()))),
+            Answer::Busy | Answer::Done | Answer::Status(_) => return Some(Next::Elsewhere(None)),
+        }
+        self.changed.send_modify(|count| *count += 1);
+        None
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-keeper/src/ctl.rs
@@ -0,0 +1,125 @@
+//! An operator's questions to the keepers.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Token};
+use cairncrank_fleet::wire::{Answer, Ask, FromKeeper, Hello, Link, Request, Status, Who, SCHEMA};
+use tokio::time::timeout;
+
+use crate::config::Config;
+
+/// How long a keeper has for an answer.
+const CALL: Duration = Duration::from_secs(3);
+
+async fn ask(config: &Config, keeper: u64, ask: Ask) -> Result<Answer, String> {
+    let address = config.keepers.get(&keeper).ok_or_else(|| format!("there is no keeper {keeper}"))?;
+    let hello = Hello { schema: SCHEMA, installation: config.installation.clone(), who: Who::Operator };
+    let call = async {
+        let (mut link, _) = Link::connect(*address, None, &hello).await?;
+        link.send(&Request { id: 1, ask }).await?;
+        loop {
+            if let FromKeeper::Answer(1, answer) = link.next().await? {
+                return Ok::<_, std::io::Error>(answer);
+            }
+        }
+    };
+    match timeout(CALL, call).await {
+        Ok(answer) => answer.map_err(|error| format!("keeper {keeper} at {address}: {error}")),
+        Err(_) => Err(format!("keeper {keeper} at {address}: no answer within {} s", CALL.as_secs())),
+    }
+}
+
+/// How things are at one keeper.
+///
+/// # Errors
+/// It is not reached.
+pub async fn status(config: &Config, keeper: u64) -> Result<Status, String> {
+    match ask(config, keeper, Ask::Status).await? {
+        Answer::Status(status) => Ok(*status),
+        other => Err(format!("keeper {keeper}: an answer that was not asked for: {other:?}")),
+    }
+}
+
+/// How things are at each keeper, or why it cannot be told.
+pub async fn statuses(config: &Config) -> Vec<(u64, Result<Status, String>)> {
+    let mut all = Vec::new();
+    for keeper in config.keepers.keys() {
+        all.push((*keeper, status(config, *keeper).await));
+    }
+    all
+}
+
+/// The keeper that leads with the highest term, or why there is none.
+///
+/// # Errors
+/// No keeper leads.
+pub async fn leading(config: &Config) -> Result<Status, String> {
+    let mut statuses = statuses(config).await;
+    statuses.retain(|(_, status)| !matches!(status, Ok(status) if !status.leads));
+    let best = statuses
+        .iter()
+        .filter_map(|(_, status)| status.as_ref().ok())
+        .max_by_key(|status| status.term)
+        .cloned();
+    best.ok_or_else(|| {
+        let mut text = "no keeper leads: a majority has to be there and reach each other".to_owned();
+        for (_, status) in statuses {
+            if let Err(error) = status {
+                let _ = write!(text, "\n  {error}");
+            }
+        }
+        text
+    })
+}
+
+/// Ends the running term of a duty; another member gets it.
+///
+/// # Errors
+/// Nobody leads, or the duty has no such term.
+pub async fn release(config: &Config, duty: DutyId, token: Option<Token>) -> Result<(), String> {
+    let leader = leading(config).await?;
+    match ask(config, leader.keeper, Ask::Release { duty: duty.clone(), token }).await? {
+        Answer::Done => Ok(()),
+        Answer::Refused(reason) => Err(format!("{duty}: {reason}")),
+        other => Err(format!("{duty}: not done: {other:?}; ask again")),
+    }
+}
+
+/// The figures of a keeper for Prometheus, in its text form.
+pub fn figures(status: &Status) -> String {
+    let mut text = String::new();
+    let mut figure = |name: &str, kind: &str, help: &str, rows: &[(String, u64)]| {
+        let _ =
+            writeln!(text, "# HELP cairncrank_keeper_{name} {help}\n# TYPE cairncrank_keeper_{name} {kind}");
+        for (labels, value) in rows {
+            let _ = writeln!(text, "cairncrank_keeper_{name}{labels} {value}");
+        }
+    };
+    let one = |value: u64| vec![(String::new(), value)];
+    figure("leads", "gauge", "Whether this keeper leads.", &one(status.leads.into()));
+    figure("term", "gauge", "The term of Raft.", &one(status.term));
+    figure("applied_entries", "counter", "The last entry applied.", &one(status.applied));
+    figure("elections_total", "counter", "Leaders seen since the start.", &one(status.elections));
+    figure("starts_total", "counter", "How often this disk was started.", &one(status.boots));
+    figure("members", "gauge", "Sessions of members.", &one(status.members.len() as u64));
+    let quantiles = [("0.5", status.commit_us.0), ("0.99", status.commit_us.1), ("1", status.commit_us.2)];
+    let quantiles: Vec<_> = quantiles.map(|(q, us)| (format!("{{quantile=\"{q}\"}}"), us)).into();
+    figure(
+        "commit_microseconds",
+        "gauge",
+        "From a proposal to its being applied, since the start.",
+        &quantiles,
+    );
+    let owners = status.duties.iter().map(|duty| {
+        let (owner, token) = duty.owner.clone().unwrap_or((String::new(), Token(0)));
+        (format!("{{duty={:?},owner={owner:?}}}", duty.duty.to_string()), token.0)
+    });
+    figure(
+        "duty_token",
+        "gauge",
+        "The token of a duty's running term, 0 without an owner.",
+        &owners.collect::<Vec<_>>(),
+    );
+    text
+}
--- a/crates/cairncrank-keeper/src/main.rs
+++ b/crates/cairncrank-keeper/src/main.rs
@@ -1,1 +1,212 @@
-fn main() {}
+//! The command line of a keeper.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use cairncrank_duty::{DutyId, Token};
+use cairncrank_fleet::record::Recorder;
+use cairncrank_keeper::config::{self, Config};
+use cairncrank_keeper::{ctl, disk, serve, Stop};
+use lexopt::prelude::*;
+
+const HELP: &str = "\
+cairncrank-keeper COMMAND --config FILE [options]
+
+  bootstrap       sets up the empty store of this keeper, once in the life of an installation
+  serve           keeps; ends on SIGTERM
+  status          every keeper: who leads, how far each is
+  members         the members that have a session
+  duties          who owns what, with which token
+  release-duty    ends the running term of --duty NAME (with --token N only that one); another member gets it
+  metrics         the figures of this keeper, for Prometheus, as text
+  check-config    reads the configuration and says what is wrong with it
+
+  --config FILE   the configuration, HCL
+  --record FILE   with serve: appends what was applied, a JSON object a line
+  --log LEVEL     error, warn, info (the default), debug or trace
+  --json          with status, members and duties: JSON
+
+Exit codes: 0 done, 1 fault, 2 bad usage, 3 the disk is an old copy or another's, 4 the store cannot be used,
+5 something was agreed on that this version does not know, 6 raft refused to go on.
+";
+
+struct Args {
+    command: String,
+    config: Option<PathBuf>,
+    record: Option<PathBuf>,
+    duty: Option<DutyId>,
+    token: Option<Token>,
+    level: tracing::Level,
+    json: bool,
+}
+
+fn args() -> Result<Args, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut args = Args {
+        command: String::new(),
+        config: None,
+        record: None,
+        duty: None,
+        token: None,
+        level: tracing::Level::INFO,
+        json: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(command) if args.command.is_empty() => args.command = command.string()?,
+            Long("config") => args.config = Some(parser.value()?.into()),
+            Long("record") => args.record = Some(parser.value()?.into()),
+            Long("duty") => args.duty = Some(parser.value()?.parse()?),
+            Long("token") => args.token = Some(Token(parser.value()?.parse()?)),
+            Long("log") => args.level = parser.value()?.parse()?,
+            Long("json") => args.json = true,
+            Short('h') | Long("help") => args.command = "help".to_owned(),
+            Long("version") => args.command = "version".to_owned(),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(args)
+}
+
+fn main() -> ExitCode {
+    let args = match args() {
+        Ok(args) => args,
+        Err(error) => {
+            eprintln!("cairncrank-keeper: {error}\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    match args.command.as_str() {
+        "help" => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        "version" => {
+            println!("cairncrank-keeper {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        "bootstrap" | "serve" | "status" | "members" | "duties" | "release-duty" | "metrics"
+        | "check-config" => {}
+        other => {
+            eprintln!("cairncrank-keeper: {other:?} is no command\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    }
+    let Some(path) = &args.config else {
+        eprintln!("cairncrank-keeper: --config FILE is missing");
+        return ExitCode::from(2);
+    };
+    let config = match config::read(path) {
+        Ok(config) => config,
+        Err(fault) => {
+            eprintln!("cairncrank-keeper: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    tracing_subscriber::fmt().with_max_level(args.level).with_ansi(false).with_writer(std::io::stderr).init();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cairncrank-keeper: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match tokio::task::LocalSet::new().block_on(&runtime, run(&args, &config)) {
+        Ok(text) => {
+            let _ = std::io::stdout().write_all(text.as_bytes());
+            ExitCode::SUCCESS
+        }
+        Err(stop) => {
+            eprintln!("cairncrank-keeper: {stop}");
+            ExitCode::from(stop.code())
+        }
+    }
+}
+
+fn here(config: &Config) -> Result<&config::Serve, Stop> {
+    config.serve.as_ref().ok_or_else(|| Stop::Start("serve: the block is missing".to_owned()))
+}
+
+async fn run(args: &Args, config: &Config) -> Result<String, Stop> {
+    match args.command.as_str() {
+        "bootstrap" => {
+            let here = here(config)?;
+            let voters: Vec<u64> = config.keepers.keys().copied().collect();
+            let disk = fastrand::u64(..);
+            disk::bootstrap(
+                &here.store,
+                &config.installation,
+                here.keeper,
+                &voters,
+                config.first_token,
+                disk,
+            )?;
+            Ok(format!("{}: an empty store of keeper {}\n", here.store.display(), here.keeper))
+        }
+        "serve" => {
+            let record = match &args.record {
+                Some(path) => Recorder::to(path)
+                    .map_err(|error| Stop::Start(format!("--record: {}: {error}", path.display())))?,
+                None => Recorder::default(),
+            };
+            serve::serve(config, here(config)?, record).await.map(|()| String::new())
+        }
+        "status" => {
+            let all = ctl::statuses(config).await;
+            let mut text = String::new();
+            for (keeper, status) in &all {
+                text += &match status {
+                    Ok(status) if args.json => serde_json::to_string(status).unwrap_or_default() + "\n",
+                    Ok(status) => format!(
+                        "keeper {keeper}: {}, term {}, applied {} of {}, {} members, commit p50 {} us p99 {} us\n",
+                        if status.leads { "leads" } else { "follows" },
+                        status.term,
+                        status.applied,
+                        status.committed,
+                        status.members.len(),
+                        status.commit_us.0,
+                        status.commit_us.1
+                    ),
+                    Err(error) => format!("{error}\n"),
+                };
+            }
+            Ok(text)
+        }
+        "members" => {
+            let status = ctl::leading(config).await.map_err(Stop::Start)?;
+            if args.json {
+                return Ok(serde_json::to_string(&status.members).unwrap_or_default() + "\n");
+            }
+            let line = |member: &cairncrank_fleet::wire::MemberStatus| {
+                let (peer, settled) = (&member.peer, if member.settled { "settled" } else { "new" });
+                let state = if member.superseded { "superseded" } else { settled };
+                format!(
+                    "{} process {} session {} at {} {state}\n",
+                    peer.name, peer.incarnation, member.session.0, peer.address
+                )
+            };
+            Ok(status.members.iter().map(line).collect())
+        }
+        "duties" => {
+            let status = ctl::leading(config).await.map_err(Stop::Start)?;
+            if args.json {
+                return Ok(serde_json::to_string(&status.duties).unwrap_or_default() + "\n");
+            }
+            let line = |duty: &cairncrank_fleet::wire::DutyStatus| match &duty.owner {
+                Some((name, token)) => format!("{}: {name}, token {}\n", duty.duty, token.0),
+                None => format!("{}: nobody, tokens below {} are over\n", duty.duty, duty.floor.0),
+            };
+            Ok(status.duties.iter().map(line).collect())
+        }
+        "release-duty" => {
+            let duty = args.duty.clone().ok_or_else(|| Stop::Start("--duty is missing".to_owned()))?;
+            ctl::release(config, duty, args.token).await.map(|()| String::new()).map_err(Stop::Start)
+        }
+        "metrics" => {
+            let status = ctl::status(config, here(config)?.keeper).await;
+            Ok(ctl::figures(&status.map_err(Stop::Start)?))
+        }
+        _ => Ok("the configuration is fine\n".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-keeper/src/node.rs
@@ -0,0 +1,740 @@
+//! One keeper without sockets and clock: Raft, the replicated state, and what the leader knows besides.
+//!
+//! Whoever drives it gives it the time, messages and questions, and carries out what [`Node::take`] gives out. All
+//! that is given out was on the disk before.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use cairncrank_duty::{Command, Micros, Outcome, Reason, Revision, SessionId, State, Times, Token, Warden};
+use cairncrank_fleet::wire::{
+    Answer, Ask, Disk as Identity, DutyStatus, FromKeeper, MemberStatus, Peer, Request, Status, Turned,
+};
+use hdrhistogram::Histogram;
+use protobuf::Message as _;
+use raft::eraftpb::{Entry, EntryType, HardState, Message, MessageType, Snapshot};
+use raft::storage::MemStorage;
+use raft::{Config, GetEntriesContext, RaftState, RawNode, SnapshotStatus, StateRole, Storage, StorageError};
+
+use crate::disk::{Batch, Disk, Found};
+use crate::Stop;
+
+/// A connection of a member or an operator.
+pub type Conn = u64;
+
+/// Entries applied since the last snapshot before there is another, and how many stay in the log behind it.
+const SNAPSHOT_EVERY: u64 = 4_096;
+const SNAPSHOT_KEEPS: u64 = 512;
+/// The most that waits for agreement or for the confirmation that this keeper leads.
+const MOST_WAITING: usize = 8_192;
+
+/// What the driver is to do.
+#[derive(Debug)]
+pub enum Out {
+    /// A message of Raft to a keeper.
+    Raft(Message),
+    /// Something to a member or an operator.
+    Say(Conn, FromKeeper),
+    /// The view has changed, for all connections of members.
+    News(cairncrank_duty::View),
+    /// Something was applied, for the records.
+    Applied {
+        /// Where in the log.
+        index: Revision,
+        /// What it was.
+        command: Command,
+        /// What came of it.
+        outcome: Outcome,
+        /// [`State::digest`] after it, or 0 where none is wanted.
+        digest: u64,
+    },
+    /// This keeper leads now in this term, or does no longer.
+    Leads(Option<u64>),
+}
+
+/// The log in memory, as on the disk, with the snapshot that others are given.
+#[derive(Clone)]
+struct Store {
+    log: MemStorage,
+    snapshot: Snapshot,
+}
+
+impl Storage for Store {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        self.log.initial_state()
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max: impl Into<Option<u64>>,
+        context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        self.log.entries(low, high, max, context)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        match index == self.snapshot.get_metadata().index {
+            true => Ok(self.snapshot.get_metadata().term),
+            false => self.log.term(index),
+        }
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        self.log.first_index()
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        self.log.last_index()
+    }
+
+    fn snapshot(&self, wanted: u64, _to: u64) -> raft::Result<Snapshot> {
+        match self.snapshot.get_metadata().index >= wanted {
+            true => Ok(self.snapshot.clone()),
+            false => Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable)),
+        }
+    }
+}
+
+struct Waiter {
+    conn: Conn,
+    request: u64,
+    since: Micros,
+}
+
+struct Renewal {
+    conn: Conn,
+    request: u64,
+    session: SessionId,
+    seen: Revision,
+    roster: Option<Revision>,
+}
+
+/// Renewals that wait for the word of a majority that this keeper leads.
+struct Round {
+    number: u64,
+    since: Micros,
+    renewals: Vec<Renewal>,
+}
+
+/// A keeper.
+pub struct Node {
+    raw: RawNode<Store>,
+    disk: Disk,
+    identity: Identity,
+    state: State,
+    times: Times,
+    warden: Option<Warden>,
+    peers: BTreeMap<u64, Identity>,
+    peers_changed: Vec<Identity>,
+    /// Which proposals are this process's: a number drawn at its start, and one counted.
+    nonce: u64,
+    next: u64,
+    waiting: BTreeMap<u64, Waiter>,
+    queued: Vec<Renewal>,
+    round: Option<Round>,
+    confirmed: VecDeque<(Revision, Vec<Renewal>)>,
+    sessions: BTreeMap<Conn, SessionId>,
+    told: Revision,
+    leads: Option<u64>,
+    leader: u64,
+    elections: u64,
+    commits: Histogram<u64>,
+    digests: bool,
+    out: Vec<Out>,
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Node")
+            .field("identity", &self.identity)
+            .field("leads", &self.leads)
+            .finish_non_exhaustive()
+    }
+}
+
+fn raft_fault(error: raft::Error) -> Stop {
+    Stop::Raft(format!("raft does not go on: {error}"))
+}
+
+fn restored(snapshot: &Snapshot) -> Result<State, Stop> {
+    let mut state = State::restore(snapshot.get_data()).map_err(|fault| Stop::Later(fault.to_string()))?;
+    state.skip(snapshot.get_metadata().index);
+    Ok(state)
+}
+
+impl Node {
+    /// A keeper from what was on its disk. `tick` is the time between two calls of [`Node::tick`].
+    ///
+    /// # Errors
+    /// What was on the disk cannot be used.
+    pub fn new(disk: Disk, found: Found, times: Times, tick: Micros, nonce: u64) -> Result<Node, Stop> {
+        let Found { identity, hard, snapshot, entries, peers } = found;
+        let state = restored(&snapshot)?;
+        let log = MemStorage::new();
+        {
+            let mut log = log.wl();
+            log.apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
+            log.append(&entries).map_err(raft_fault)?;
+            let commit =
+                hard.commit.clamp(snapshot.get_metadata().index, log.hard_state().commit.max(hard.commit));
+            let last = entries.last().map_or(snapshot.get_metadata().index, |entry| entry.index);
+            let term = hard.term.max(snapshot.get_metadata().term);
+            log.set_hardstate(HardState { commit: commit.min(last), term, ..hard });
+        }
+        let config = Config {
+            id: identity.keeper,
+            election_tick: times.election.div_ceil(tick).max(4) as usize,
+            heartbeat_tick: (times.heartbeat / tick).max(1) as usize,
+            applied: snapshot.get_metadata().index,
+            max_size_per_msg: 1 << 20,
+            max_inflight_msgs: 256,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, Store { log, snapshot }, &logger).map_err(raft_fault)?;
+        let commits =
+            Histogram::new_with_bounds(1, 600_000_000, 2).map_err(|error| Stop::Start(error.to_string()))?;
+        let mut node = Node {
+            raw,
+            disk,
+            identity,
+            told: state.seats_revision(),
+            state,
+            times,
+            warden: None,
+            peers,
+            peers_changed: Vec::new(),
+            nonce,
+            next: 0,
+            waiting: BTreeMap::new(),
+            queued: Vec::new(),
+            round: None,
+            confirmed: VecDeque::new(),
+            sessions: BTreeMap::new(),
+            leads: None,
+            leader: 0,
+            elections: 0,
+            commits,
+            digests: false,
+            out: Vec::new(),
+        };
+        node.work(0)?;
+        Ok(node)
+    }
+
+    /// What this keeper says of its disk.
+    pub fn identity(&self) -> Identity {
+        Identity { term: self.raw.raft.term, ..self.identity }
+    }
+
+    /// Whether [`Out::Applied`] carries a digest of the state, which takes time.
+    pub fn digest(&mut self, wanted: bool) {
+        self.digests = wanted;
+    }
+
+    /// What is to be done now.
+    pub fn take(&mut self) -> Vec<Out> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Another keeper has greeted this one. What it says is on this disk before it is let in.
+    ///
+    /// # Errors
+    /// Its disk is not the one that was known, or an old copy of it.
+    pub fn greeted(&mut self, by: Identity) -> Result<Result<(), Turned>, Stop> {
+        if by.keeper == self.identity.keeper || !self.raw.raft.prs().iter().any(|(id, _)| *id == by.keeper) {
+            return Ok(Err(Turned::Stranger));
+        }
+        let agreed = self.state.keepers().get(&by.keeper).copied().unwrap_or(0);
+        let known = self.peers.get(&by.keeper).copied().unwrap_or(Identity { boots: 0, term: 0, ..by });
+        if known.disk != by.disk {
+            return Ok(Err(Turned::WrongDisk));
+        }
+        let boots = known.boots.max(agreed);
+        if by.boots < boots || by.term < known.term {
+            return Ok(Err(Turned::OldDisk { boots, term: known.term }));
+        }
+        if known != by {
+            self.disk.write(&Batch { peers: &[by], ..Batch::default() })?;
+            self.peers.insert(by.keeper, by);
+        }
+        self.propose_boots();
+        Ok(Ok(()))
+    }
+
+    /// Lets all keepers know by the log how often each disk was started, so that also one that was away knows.
+    fn propose_boots(&mut self) {
+        if self.warden.is_none() {
+            return;
+        }
+        let known = self.peers.values().map(|peer| (peer.keeper, peer.boots));
+        let known = known.chain([(self.identity.keeper, self.identity.boots)]);
+        let news: Vec<(u64, u64)> = known
+            .filter(|(keeper, boots)| self.state.keepers().get(keeper).is_none_or(|seen| seen < boots))
+            .collect();
+        for (keeper, boots) in news {
+            let command = Command::KeeperStarted { keeper, boots };
+            let _ = self.raw.propose(Vec::new(), command.encode());
+        }
+    }
+
+    /// A message of Raft from a keeper that was let in.
+    ///
+    /// # Errors
+    /// The keeper stops.
+    pub fn message(&mut self, from: u64, message: Message, now: Micros) -> Result<(), Stop> {
+        if message.from != from || message.to != self.identity.keeper {
+            return Ok(());
+        }
+        // What another keeper has said of its term is written down with the next thing that is: one that forgets it
+        // has an old disk.
+        if let Some(peer) = self.peers.get_mut(&from).filter(|peer| {
+            let votes = matches!(
+                message.get_msg_type(),
+                MessageType::MsgRequestPreVote | MessageType::MsgRequestPreVoteResponse
+            );
+            message.term > peer.term && !votes
+        }) {
+            peer.term = message.term;
+            let peer = *peer;
+            self.peers_changed.retain(|changed| changed.keeper != from);
+            self.peers_changed.push(peer);
+        }
+        // A message that does not fit is dropped, as if it were lost.
+        let _ = self.raw.step(message);
+        self.work(now)
+    }
+
+    /// A message could not be given to a keeper.
+    pub fn unreachable(&mut self, keeper: u64, snapshot: bool) {
+        self.raw.report_unreachable(keeper);
+        if snapshot {
+            self.raw.report_snapshot(keeper, SnapshotStatus::Failure);
+        }
+    }
+
+    /// A snapshot was given to the connection of a keeper.
+    pub fn snapshot_sent(&mut self, keeper: u64) {
+        self.raw.report_snapshot(keeper, SnapshotStatus::Finish);
+    }
+
+    /// A connection is gone.
+    pub fn closed(&mut self, conn: Conn) {
+        self.sessions.remove(&conn);
+    }
+
+    /// Whether this keeper leads and may answer members.
+    pub fn leads(&self) -> bool {
+        self.warden.is_some()
+    }
+
+    /// Gives the lead to another keeper that is up to date, if this one has it.
+    ///
+    /// # Errors
+    /// The keeper stops.
+    pub fn hand_over(&mut self, now: Micros) -> Result<(), Stop> {
+        if self.raw.raft.state == StateRole::Leader {
+            let own = self.identity.keeper;
+            let best =
+                self.raw.raft.prs().iter().filter(|(id, _)| **id != own).max_by_key(|(_, at)| at.matched);
+            if let Some(to) = best.map(|(id, _)| *id) {
+                self.raw.transfer_leader(to);
+            }
+        }
+        self.work(now)
+    }
+
+    /// Time has passed.
+    ///
+    /// # Errors
+    /// The keeper stops.
+    pub fn tick(&mut self, now: Micros) -> Result<(), Stop> {
+        self.raw.tick();
+        if self.round.as_ref().is_some_and(|round| now.saturating_sub(round.since) > self.times.election) {
+            self.give_up_round();
+        }
+        let old: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiter)| now.saturating_sub(waiter.since) > 5_000_000)
+            .map(|(n, _)| *n)
+            .collect();
+        for number in old {
+            self.waiting.remove(&number);
+        }
+        self.work(now)
+    }
+
+    fn give_up_round(&mut self) {
+        for renewal in self.round.take().into_iter().flat_map(|round| round.renewals) {
+            self.say(renewal.conn, renewal.request, Answer::Busy);
+        }
+    }
+
+    fn say(&mut self, conn: Conn, request: u64, answer: Answer) {
+        self.out.push(Out::Say(conn, FromKeeper::Answer(request, answer)));
+    }
+
+    fn not_leading(&self) -> Answer {
+        match Some(self.leader).filter(|leader| *leader != 0 && *leader != self.identity.keeper) {
+            Some(leader) => Answer::NotLeading { leader: Some(leader) },
+            None => Answer::Busy,
+        }
+    }
+
+    /// A member or an operator asks something.
+    ///
+    /// # Errors
+    /// The keeper stops.
+    pub fn ask(&mut self, conn: Conn, Request { id, ask }: Request, now: Micros) -> Result<(), Stop> {
+        if let Ask::Status = ask {
+            let status = self.status();
+            self.say(conn, id, Answer::Status(Box::new(status)));
+            return Ok(());
+        }
+        let Some(warden) = &self.warden else {
+            let answer = self.not_leading();
+            self.say(conn, id, answer);
+            return Ok(());
+        };
+        if self.waiting.len() + self.queued.len() >= MOST_WAITING {
+            self.say(conn, id, Answer::Busy);
+            return Ok(());
+        }
+        match ask {
+            Ask::Join { name, boot, zone, address, offers } => {
+                let short = warden.short(&name, now, &self.state);
+                self.propose(conn, id, Command::Join { name, boot, zone, address, offers, short }, now);
+            }
+            Ask::Renew { session, seen, roster } => {
+                self.sessions.insert(conn, session);
+                self.queued.push(Renewal { conn, request: id, session, seen, roster });
+            }
+            Ask::Leave { session } => {
+                let name = self
+                    .state
+                    .sessions()
+                    .get(&session)
+                    .map(|session| session.name.clone())
+                    .unwrap_or_default();
+                let short = warden.short(&name, now, &self.state);
+                self.propose(conn, id, Command::Leave { session, short }, now);
+            }
+            Ask::Release { duty, token } => {
+                let held =
+                    self.state.duties().get(&duty).and_then(|duty| duty.owner).map(|owner| owner.token);
+                match token.or(held) {
+                    Some(token) => {
+                        self.propose(conn, id, Command::Release { duty, token, unsettle: true }, now)
+                    }
+                    None => self.say(conn, id, Answer::Refused(Reason::NotTheOwner)),
+                }
+            }
+            Ask::Status => {}
+        }
+        self.work(now)
+    }
+
+    fn propose(&mut self, conn: Conn, request: u64, command: Command, now: Micros) {
+        self.next += 1;
+        let context = postcard::to_stdvec(&(self.nonce, self.next)).unwrap_or_default();
+        match self.raw.propose(context, command.encode()) {
+            Ok(()) => {
+                self.waiting.insert(self.next, Waiter { conn, request, since: now });
+            }
+            Err(_) => self.say(conn, request, Answer::Busy),
+        }
+    }
+
+    /// Does all that can be done now.
+    fn work(&mut self, now: Micros) -> Result<(), Stop> {
+        loop {
+            self.begin_round(now);
+            self.propose_due(now);
+            if !self.raw.has_ready() {
+                break;
+            }
+            self.one_ready(now)?;
+            self.role(now);
+            self.answer_confirmed(now);
+        }
+        if self.state.revision() >= self.raw.store().snapshot.get_metadata().index + SNAPSHOT_EVERY {
+            self.compact()?;
+        }
+        if self.warden.is_some() && self.state.seats_revision() != self.told {
+            self.out.push(Out::News(self.state.view()));
+        }
+        self.told = self.state.seats_revision();
+        Ok(())
+    }
+
+    fn begin_round(&mut self, now: Micros) {
+        if self.warden.is_some() && self.round.is_none() && !self.queued.is_empty() {
+            self.next += 1;
+            let context = postcard::to_stdvec(&(self.nonce, self.next)).unwrap_or_default();
+            self.raw.read_index(context);
+            let renewals = std::mem::take(&mut self.queued);
+            self.round = Some(Round { number: self.next, since: now, renewals });
+        }
+    }
+
+    fn propose_due(&mut self, now: Micros) {
+        let Some(warden) = &mut self.warden else { return };
+        for command in warden.due(now, &self.state) {
+            if self.raw.propose(Vec::new(), command.encode()).is_err() {
+                warden.dropped(&command);
+            }
+        }
+    }
+
+    fn one_ready(&mut self, now: Micros) -> Result<(), Stop> {
+        let mut ready = self.raw.ready();
+        self.send(ready.take_messages());
+        for read in ready.take_read_states() {
+            let number = postcard::from_bytes::<(u64, u64)>(&read.request_ctx).ok();
+            let number = number.filter(|(nonce, _)| *nonce == self.nonce).map(|(_, number)| number);
+            if self.round.as_ref().is_some_and(|round| Some(round.number) == number) {
+                let renewals = self.round.take().map(|round| round.renewals).unwrap_or_default();
+                self.confirmed.push_back((read.index, renewals));
+            }
+        }
+        let mut batch = Batch { entries: ready.entries(), peers: &self.peers_changed, ..Batch::default() };
+        let foreign = !ready.snapshot().is_empty();
+        if foreign {
+            batch.snapshot = Some((ready.snapshot(), ready.snapshot().get_metadata().index));
+            batch.clear = true;
+        }
+        batch.hard = ready.hs();
+        // A commit index alone is found again from the others; it needs no write.
+        if ready.must_sync() || foreign || !batch.entries.is_empty() {
+            self.disk.write(&batch)?;
+            self.peers_changed.clear();
+        }
+        if foreign {
+            let snapshot = ready.snapshot().clone();
+            self.raw.mut_store().log.wl().apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
+            self.state = restored(&snapshot)?;
+            self.raw.mut_store().snapshot = snapshot;
+        }
+        self.raw.mut_store().log.wl().append(ready.entries()).map_err(raft_fault)?;
+        if let Some(hard) = ready.hs() {
+            self.raw.mut_store().log.wl().set_hardstate(hard.clone());
+        }
+        self.send(ready.take_persisted_messages());
+        self.apply(ready.take_committed_entries(), now)?;
+        let mut light = self.raw.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            self.raw.mut_store().log.wl().mut_hard_state().commit = commit;
+        }
+        self.send(light.take_messages());
+        self.apply(light.take_committed_entries(), now)?;
+        self.raw.advance_apply();
+        Ok(())
+    }
+
+    fn send(&mut self, messages: Vec<Message>) {
+        self.out.extend(messages.into_iter().map(Out::Raft));
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>, now: Micros) -> Result<(), Stop> {
+        for entry in entries {
+            if entry.get_entry_type() != EntryType::EntryNormal {
+                return Err(Stop::Later(format!(
+                    "entry {} changes the keepers, which this version does not know: it stops rather than skip it",
+                    entry.index
+                )));
+            }
+            if entry.data.is_empty() {
+                self.state.skip(entry.index);
+                continue;
+            }
+            let command = Command::decode(&entry.data)
+                .map_err(|fault| Stop::Later(format!("at entry {}: {fault}", entry.index)))?;
+            let outcome = self.state.apply(entry.index, &command);
+            if let Some(warden) = &mut self.warden {
+                warden.applied(now, &self.state);
+            }
+            let own = postcard::from_bytes::<(u64, u64)>(&entry.context)
+                .ok()
+                .filter(|(nonce, _)| *nonce == self.nonce);
+            if let Some(waiter) = own.and_then(|(_, number)| self.waiting.remove(&number)) {
+                let _ = self.commits.record(now.saturating_sub(waiter.since).max(1));
+                self.answer(waiter, &outcome, now);
+            }
+            let digest = if self.digests { self.state.digest() } else { 0 };
+            self.out.push(Out::Applied { index: entry.index, command, outcome, digest });
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, waiter: Waiter, outcome: &Outcome, now: Micros) {
+        let answer = match (outcome, &mut self.warden) {
+            // Only the leading keeper may give a lease, old or new.
+            (Outcome::Joined(session, incarnation), Some(warden)) => {
+                // A session that was there is renewed by this, unless its end is on its way.
+                match warden.renewed(*session, 0, now, &self.state) {
+                    Ok(()) => {
+                        self.sessions.insert(waiter.conn, *session);
+                        Answer::Joined {
+                            session: *session,
+                            incarnation: *incarnation,
+                            view: self.state.view(),
+                        }
+                    }
+                    Err(_) => Answer::Busy,
+                }
+            }
+            (Outcome::Joined(..), None) => self.not_leading(),
+            (Outcome::Refused(reason), _) => Answer::Refused(reason.clone()),
+            _ => Answer::Done,
+        };
+        self.say(waiter.conn, waiter.request, answer);
+    }
+
+    /// Notices whether this keeper leads. It counts itself as leading only when it has applied an entry of its term,
+    /// and with it all that was agreed before.
+    fn role(&mut self, now: Micros) {
+        let raft = &self.raw.raft;
+        if raft.leader_id != self.leader {
+            self.leader = raft.leader_id;
+            self.elections += u64::from(self.leader != 0);
+        }
+        let leads = (raft.state == StateRole::Leader && raft.apply_to_current_term()).then_some(raft.term);
+        if leads == self.leads {
+            return;
+        }
+        self.leads = leads;
+        self.out.push(Out::Leads(leads));
+        self.warden = leads.map(|_| Warden::new(self.times, now, &self.state));
+        self.propose_boots();
+        // Whoever waits asks the next leader; what was proposed may still be agreed on, and asking twice does no harm.
+        let answer = self.not_leading();
+        let waiting =
+            std::mem::take(&mut self.waiting).into_values().map(|waiter| (waiter.conn, waiter.request));
+        let queued = std::mem::take(&mut self.queued);
+        let round = self.round.take().into_iter().flat_map(|round| round.renewals);
+        let confirmed = std::mem::take(&mut self.confirmed).into_iter().flat_map(|(_, renewals)| renewals);
+        let renewals =
+            queued.into_iter().chain(round).chain(confirmed).map(|renewal| (renewal.conn, renewal.request));
+        let all: Vec<(Conn, u64)> = waiting.chain(renewals).collect();
+        for (conn, request) in all {
+            self.say(conn, request, answer.clone());
+        }
+    }
+
+    fn answer_confirmed(&mut self, now: Micros) {
+        while self.confirmed.front().is_some_and(|(index, _)| *index <= self.state.revision()) {
+            let Some((_, renewals)) = self.confirmed.pop_front() else { return };
+            for renewal in renewals {
+                let Some(warden) = &mut self.warden else { return };
+                let answer = match warden.renewed(renewal.session, renewal.seen, now, &self.state) {
+                    Ok(()) => Answer::Renewed {
+                        view: (self.state.seats_revision() > renewal.seen).then(|| self.state.view()),
+                        roster: renewal
+                            .roster
+                            .filter(|known| *known < self.state.roster_revision())
+                            .map(|_| self.roster()),
+                    },
+                    Err(reason) => Answer::Refused(reason),
+                };
+                self.say(renewal.conn, renewal.request, answer);
+            }
+        }
+    }
+
+    fn roster(&self) -> (Revision, Vec<Peer>) {
+        let sessions = self.state.sessions().values().filter(|session| !session.superseded);
+        let mut peers: Vec<Peer> = sessions.map(peer).collect();
+        peers.sort();
+        (self.state.roster_revision(), peers)
+    }
+
+    /// The session that was last heard of on a connection.
+    pub fn session_of(&self, conn: Conn) -> Option<SessionId> {
+        self.sessions.get(&conn).copied()
+    }
+
+    /// Makes a snapshot of what is applied and drops most of the log before it.
+    fn compact(&mut self) -> Result<(), Stop> {
+        let index = self.state.revision();
+        let mut snapshot = Snapshot::default();
+        let term = self.raw.store().term(index).map_err(raft_fault)?;
+        let voters = self.raw.store().snapshot.get_metadata().get_conf_state().clone();
+        snapshot.mut_metadata().index = index;
+        snapshot.mut_metadata().term = term;
+        snapshot.mut_metadata().set_conf_state(voters);
+        snapshot.set_data(self.state.snapshot().into());
+        let gone = index - SNAPSHOT_KEEPS;
+        self.disk.write(&Batch { snapshot: Some((&snapshot, gone)), ..Batch::default() })?;
+        self.raw.mut_store().log.wl().compact(gone + 1).map_err(raft_fault)?;
+        self.raw.mut_store().snapshot = snapshot;
+        Ok(())
+    }
+
+    /// How things are.
+    pub fn status(&self) -> Status {
+        let raft = &self.raw.raft;
+        let state = &self.state;
+        let members = state.sessions().iter().map(|(id, session)| MemberStatus {
+            session: *id,
+            peer: peer(session),
+            settled: session.settled,
+            superseded: session.superseded,
+            short_lives: state.short_lives(&session.name),
+        });
+        let owner = |owner: cairncrank_duty::Owner| {
+            let name = state.sessions().get(&owner.session).map(|session| session.name.clone());
+            (name.unwrap_or_default(), owner.token)
+        };
+        let duties = state.duties().iter().map(|(id, duty)| DutyStatus {
+            duty: id.clone(),
+            owner: duty.owner.map(owner),
+            floor: duty.floor,
+            fenced: duty.fenced,
+        });
+        let quantile = |q| self.commits.value_at_quantile(q);
+        Status {
+            keeper: self.identity.keeper,
+            leads: self.warden.is_some(),
+            leader: Some(self.leader).filter(|leader| *leader != 0),
+            term: raft.term,
+            applied: state.revision(),
+            committed: raft.raft_log.committed,
+            first: self.raw.store().first_index().unwrap_or(0),
+            boots: self.identity.boots,
+            elections: self.elections,
+            commit_us: (quantile(0.5), quantile(0.99), self.commits.max()),
+            members: members.collect(),
+            duties: duties.collect(),
+            keepers: state.keepers().iter().map(|(keeper, boots)| (*keeper, *boots)).collect(),
+        }
+    }
+
+    /// The token that the next grant gets, for tests of tokens over restarts.
+    pub fn next_token(&self) -> Token {
+        self.state.next_token()
+    }
+}
+
+fn peer(session: &cairncrank_duty::Session) -> Peer {
+    Peer {
+        name: session.name.clone(),
+        incarnation: session.incarnation,
+        zone: session.zone.clone(),
+        address: session.address.clone(),
+    }
+}
+
+/// The bytes of a message of Raft.
+pub fn pack(message: &Message) -> Vec<u8> {
+    message.write_to_bytes().unwrap_or_default()
+}
+
+/// A message of Raft out of its bytes.
+pub fn unpack(bytes: &[u8]) -> Option<Message> {
+    let mut message = Message::default();
+    message.merge_from_bytes(bytes).ok().map(|()| message)
+}
--- /dev/null
+++ b/crates/cairncrank-keeper/src/serve.rs
@@ -0,0 +1,383 @@
+//! A keeper with sockets and a clock: one task owns the node, all reaches it through one queue.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cairncrank_duty::{Command, Outcome};
+use cairncrank_fleet::clock;
+use cairncrank_fleet::record::Recorder;
+use cairncrank_fleet::wire::{
+    check_hello, pack, turned_away, Disk as Identity, FromKeeper, Hello, Link, Request, Turned, Welcome, Who,
+    PATIENCE, SCHEMA,
+};
+use futures_util::SinkExt;
+use raft::eraftpb::{Message, MessageType};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+use crate::config::{Config, Serve};
+use crate::disk::Disk;
+use crate::node::{self, Conn, Node, Out};
+use crate::Stop;
+
+/// What waits for the node, for a keeper, and for a member: at the most so many.
+const QUEUE: usize = 4_096;
+const TO_KEEPER: usize = 1_024;
+const TO_MEMBER: usize = 64;
+
+enum Event {
+    Greeted(Identity, oneshot::Sender<Welcome>),
+    Raft(u64, Message),
+    Opened(Conn, mpsc::Sender<Bytes>),
+    Closed(Conn),
+    Ask(Conn, Request),
+    TurnedAway(u64, Turned),
+    Unreachable(u64, bool),
+}
+
+/// Serves until it is told to end, or has to stop.
+///
+/// # Errors
+/// Why it stopped.
+pub async fn serve(config: &Config, serve: &Serve, record: Recorder) -> Result<(), Stop> {
+    let (disk, found) = Disk::open(&serve.store, &config.installation, serve.keeper)?;
+    let identity = found.identity;
+    let tick = (config.times.heartbeat / 2).clamp(5_000, 50_000);
+    let mut node = Node::new(disk, found, config.times, tick, fastrand::u64(..))?;
+    node.digest(record.records());
+    let listener = TcpListener::bind(serve.listen).await;
+    let listener =
+        listener.map_err(|error| Stop::Start(format!("serve.listen: {}: {error}", serve.listen)))?;
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+        .map_err(|error| Stop::Start(error.to_string()))?;
+    tracing::info!(keeper = serve.keeper, boots = identity.boots, term = identity.term, listen = %serve.listen, "keeps");
+    record.put(clock::now(), "started", serde_json::json!({"keeper": serve.keeper, "boots": identity.boots}));
+    let (events, mut queue) = mpsc::channel(QUEUE);
+    let (said, term) = watch::channel(node.identity());
+    let name = format!("keeper {}", serve.keeper);
+    let (installation, room) =
+        (Rc::new(config.installation.clone()), Rc::new(Semaphore::new(serve.connections)));
+    spawn_local(listen(listener, installation.clone(), Rc::new(name), room, events.clone()));
+    let mut keepers = BTreeMap::new();
+    for (number, address) in config.keepers.iter().filter(|(number, _)| **number != serve.keeper) {
+        let (sender, messages) = mpsc::channel(TO_KEEPER);
+        keepers.insert(*number, sender);
+        let link =
+            Outgoing { to: *number, address: *address, bind: serve.bind, installation: installation.clone() };
+        spawn_local(link.run(term.clone(), messages, events.clone()));
+    }
+    let mut driver = Driver { keepers, conns: BTreeMap::new(), record, events };
+    let mut ticks = interval(Duration::from_micros(tick));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        driver.carry_out(&mut node);
+        said.send_if_modified(|old| std::mem::replace(old, node.identity()) != node.identity());
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = ticks.tick() => node.tick(clock::now())?,
+            event = queue.recv() => {
+                let Some(event) = event else { break };
+                driver.take(&mut node, event)?;
+                // What came meanwhile is taken in before anything is sent, up to a bound.
+                for _ in 0..256 {
+                    let Ok(event) = queue.try_recv() else { break };
+                    driver.take(&mut node, event)?;
+                }
+            }
+        }
+    }
+    tracing::info!("ends; hands the lead over");
+    node.hand_over(clock::now())?;
+    let end = tokio::time::Instant::now() + Duration::from_micros(config.times.election);
+    while node.leads() && tokio::time::Instant::now() < end {
+        driver.carry_out(&mut node);
+        tokio::select! {
+            _ = ticks.tick() => node.tick(clock::now())?,
+            event = queue.recv() => {
+                let Some(event) = event else { break };
+                driver.take(&mut node, event)?;
+            }
+        }
+    }
+    driver.carry_out(&mut node);
+    sleep(Duration::from_millis(20)).await;
+    Ok(())
+}
+
+struct Driver {
+    keepers: BTreeMap<u64, mpsc::Sender<Bytes>>,
+    conns: BTreeMap<Conn, mpsc::Sender<Bytes>>,
+    record: Recorder,
+    events: mpsc::Sender<Event>,
+}
+
+impl Driver {
+    fn take(&mut self, node: &mut Node, event: Event) -> Result<(), Stop> {
+        let now = clock::now();
+        match event {
+            Event::Greeted(by, answer) => {
+                let welcome = match node.greeted(by)? {
+                    Ok(()) => Welcome::Fine { name: format!("keeper {}", node.identity().keeper) },
+                    Err(why) => {
+                        tracing::warn!(
+                            keeper = by.keeper,
+                            boots = by.boots,
+                            term = by.term,
+                            ?why,
+                            "a keeper is turned away"
+                        );
+                        Welcome::Turned(why)
+                    }
+                };
+                let _ = answer.send(welcome);
+            }
+            Event::Raft(from, message) => node.message(from, message, now)?,
+            Event::Opened(conn, sender) => {
+                self.conns.insert(conn, sender);
+            }
+            Event::Closed(conn) => {
+                self.conns.remove(&conn);
+                node.closed(conn);
+            }
+            Event::Ask(conn, request) => node.ask(conn, request, now)?,
+            Event::TurnedAway(by, why @ (Turned::OldDisk { .. } | Turned::WrongDisk)) => {
+                return Err(Stop::OldDisk(format!("keeper {by} turned this one away: {why}")));
+            }
+            Event::TurnedAway(by, why) => tracing::error!(keeper = by, %why, "a keeper turned this one away"),
+            Event::Unreachable(to, snapshot) => node.unreachable(to, snapshot),
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, node: &mut Node) {
+        for out in node.take() {
+            match out {
+                Out::Raft(message) => {
+                    let (to, snapshot) = (message.to, message.get_msg_type() == MessageType::MsgSnapshot);
+                    let sent =
+                        self.keepers.get(&to).map(|keeper| keeper.try_send(node::pack(&message).into()));
+                    match sent {
+                        Some(Ok(())) if snapshot => node.snapshot_sent(to),
+                        Some(Ok(())) => {}
+                        _ => node.unreachable(to, snapshot),
+                    }
+                }
+                Out::Say(conn, message) => self.say(conn, &message),
+                Out::News(view) => {
+                    let told: Vec<(Conn, cairncrank_duty::SessionId)> =
+                        self.conns.keys().filter_map(|conn| Some((*conn, node.session_of(*conn)?))).collect();
+                    for (conn, session) in told {
+                        self.say(conn, &FromKeeper::News(session, view.clone()));
+                    }
+                }
+                Out::Applied { index, command, outcome, digest } => {
+                    let now = clock::now();
+                    log(&command, &outcome);
+                    let mut what = serde_json::json!({"index": index, "digest": digest});
+                    match &outcome {
+                        Outcome::Granted(duty, owner) => {
+                            what["granted"] = duty.to_string().into();
+                            what["token"] = owner.token.0.into();
+                            what["session"] = owner.session.0.into();
+                        }
+                        Outcome::Ended(session) => what["ended"] = session.0.into(),
+                        Outcome::Joined(session, _) => {
+                            what["joined"] = session.0.into();
+                            if let Command::Join { name, .. } = &command {
+                                what["name"] = name.as_str().into();
+                            }
+                        }
+                        _ => {}
+                    }
+                    self.record.put(now, "applied", what);
+                }
+                Out::Leads(term) => {
+                    tracing::info!(?term, "{}", if term.is_some() { "leads" } else { "leads no longer" });
+                    self.record.put(clock::now(), "leads", serde_json::json!({"term": term}));
+                }
+            }
+        }
+    }
+
+    fn say(&mut self, conn: Conn, message: &FromKeeper) {
+        let Some(sender) = self.conns.get(&conn) else { return };
+        let packed = match pack(message) {
+            Ok(packed) => packed,
+            Err(error) => return tracing::error!(%error, "an answer is too long"),
+        };
+        // One that does not take what it asked for is let go; it comes again and learns all anew.
+        if sender.try_send(packed).is_err() {
+            self.conns.remove(&conn);
+            let _ = self.events.try_send(Event::Closed(conn));
+        }
+    }
+}
+
+fn log(command: &Command, outcome: &Outcome) {
+    match outcome {
+        Outcome::Granted(duty, owner) => {
+            tracing::info!(%duty, token = owner.token.0, session = owner.session.0, "a duty has an owner");
+        }
+        Outcome::Joined(session, incarnation) => {
+            if let Command::Join { name, .. } = command {
+                tracing::info!(name, session = session.0, incarnation, "a member has a session");
+            }
+        }
+        Outcome::Ended(session) => {
+            let cause = if matches!(command, Command::Leave { .. }) { "left" } else { "not renewed in time" };
+            tracing::info!(session = session.0, cause, "a session is over; its duties are free");
+        }
+        Outcome::Released(duty, token) => tracing::info!(%duty, token = token.0, "a term was given back"),
+        Outcome::Refused(reason) => tracing::debug!(%reason, ?command, "refused"),
+        Outcome::Settled(_) | Outcome::Noted => {}
+    }
+}
+
+async fn listen(
+    listener: TcpListener,
+    installation: Rc<String>,
+    name: Rc<String>,
+    room: Rc<Semaphore>,
+    events: mpsc::Sender<Event>,
+) {
+    let mut next: Conn = 0;
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        next += 1;
+        let (conn, installation, name, room, events) =
+            (next, installation.clone(), name.clone(), room.clone(), events.clone());
+        spawn_local(async move {
+            let taken = room.try_acquire();
+            let full = taken.is_err();
+            if let Err(error) = incoming(stream, conn, &installation, &name, full, &events).await {
+                tracing::debug!(%from, %error, "a connection ended");
+            }
+            let _ = events.send(Event::Closed(conn)).await;
+        });
+    }
+}
+
+async fn incoming(
+    stream: TcpStream,
+    conn: Conn,
+    installation: &str,
+    name: &str,
+    full: bool,
+    events: &mpsc::Sender<Event>,
+) -> std::io::Result<()> {
+    let (mut link, hello) = Link::accept(stream).await?;
+    let verdict = check_hello(&hello, installation);
+    let verdict = if full { Err(Turned::Full) } else { verdict };
+    if let Err(why) = verdict {
+        tracing::warn!(?hello, ?why, "turned away");
+        return link.welcome(&Welcome::Turned(why)).await;
+    }
+    match hello.who {
+        Who::Keeper(identity) => {
+            let (answer, welcome) = oneshot::channel();
+            let _ = events.send(Event::Greeted(identity, answer)).await;
+            let Ok(welcome) = welcome.await else { return Ok(()) };
+            link.welcome(&welcome).await?;
+            if matches!(welcome, Welcome::Turned(_)) {
+                return Ok(());
+            }
+            loop {
+                let frame = link.next_packed().await?;
+                let Some(message) = node::unpack(&frame) else { return Ok(()) };
+                if events.send(Event::Raft(identity.keeper, message)).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        Who::Member { .. } | Who::Operator => {
+            link.welcome(&Welcome::Fine { name: name.to_owned() }).await?;
+            let (sender, mut outgoing) = mpsc::channel::<Bytes>(TO_MEMBER);
+            let (mut sink, mut frames) = link.split();
+            let _ = events.send(Event::Opened(conn, sender)).await;
+            let reads = async {
+                loop {
+                    let Ok(request) = frames.next::<Request>().await else { return };
+                    if events.send(Event::Ask(conn, request)).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            let writes = async {
+                while let Some(message) = outgoing.recv().await {
+                    if !matches!(timeout(PATIENCE, sink.send(message)).await, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+            };
+            tokio::select! {
+                () = reads => {}
+                () = writes => {}
+            }
+            Ok(())
+        }
+        Who::Owner { .. } => link.welcome(&Welcome::Turned(Turned::WrongDoor)).await,
+    }
+}
+
+/// The connection to another keeper.
+struct Outgoing {
+    to: u64,
+    address: SocketAddr,
+    bind: Option<IpAddr>,
+    installation: Rc<String>,
+}
+
+impl Outgoing {
+    async fn run(
+        self,
+        identity: watch::Receiver<Identity>,
+        mut messages: mpsc::Receiver<Bytes>,
+        events: mpsc::Sender<Event>,
+    ) {
+        loop {
+            let who = Who::Keeper(*identity.borrow());
+            let hello = Hello { schema: SCHEMA, installation: (*self.installation).clone(), who };
+            match Link::connect(self.address, self.bind, &hello).await {
+                Ok((link, _)) => {
+                    // What waited while there was no connection is of yesterday; Raft sends again what is needed.
+                    while messages.try_recv().is_ok() {}
+                    self.carry(link, &mut messages).await;
+                    let _ = events.send(Event::Unreachable(self.to, true)).await;
+                }
+                Err(error) => match turned_away(&error) {
+                    Some(why) => {
+                        let _ = events.send(Event::TurnedAway(self.to, why.clone())).await;
+                        sleep(Duration::from_secs(1)).await;
+                    }
+                    None => tracing::debug!(to = self.to, %error, "a keeper is not reached"),
+                },
+            }
+            sleep(Duration::from_millis(fastrand::u64(20..=100))).await;
+        }
+    }
+
+    async fn carry(&self, link: Link, messages: &mut mpsc::Receiver<Bytes>) {
+        let (mut sink, mut frames) = link.split();
+        loop {
+            tokio::select! {
+                message = messages.recv() => {
+                    let Some(message) = message else { return };
+                    if !matches!(timeout(PATIENCE, sink.send(message)).await, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+                // Nothing is said back here: the other end only closes it.
+                _ = frames.next::<()>() => return,
+            }
+        }
+    }
+}
