Play faults between real keepers and members, check them by their records alone

Need: that there is one owner at a time has to be shown with processes that are killed, stopped, cut off and slow, not argued.

--- a/crates/cairncrank-duty/src/machine.rs
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -41,6 +41,9 @@
     incarnation: u64,
     /// The last processes of the name, the latest last.
     boots: Vec<u64>,
+    /// Whether the last session was short.
+    last_short: bool,
+    /// Short lives of processes in a row. One that comes again after a cut is the same process, and no new life.
     short_lives: u8,
 }
 
@@ -259,7 +262,7 @@
             Command::Leave { session, short } | Command::End { session, short } => {
                 match self.end(index, *session) {
                     Some(ended) => {
-                        // A superseded one was counted when it was.
+                        // Of a superseded one it was said when it was.
                         if !ended.superseded {
                             self.lived(&ended.name, *short);
                         }
@@ -315,11 +318,15 @@
                 "{sessions} sessions, {duties} duties, {offered} offers"
             )));
         }
+        let older = self.session_of(name).map(|(id, _)| id);
         let known = self.names.entry(name.to_owned()).or_default();
         if known.boots.contains(&boot) && known.boots.last() != Some(&boot) {
             return Outcome::Refused(Reason::Superseded { incarnation: known.incarnation });
         }
         if known.boots.last() != Some(&boot) {
+            let short = if older.is_some() { short } else { known.last_short };
+            let again = short && !known.boots.is_empty();
+            known.short_lives = if again { known.short_lives.saturating_add(1) } else { 0 };
             known.boots.push(boot);
             if known.boots.len() > OLD_BOOTS {
                 known.boots.remove(0);
@@ -328,10 +335,8 @@
         known.incarnation += 1;
         let incarnation = known.incarnation;
         // The older process keeps its duties until its lease is over by its own clock: it may be acting still.
-        let older = self.session_of(name).map(|(id, _)| id);
         if let Some(older) = older.and_then(|id| self.sessions.get_mut(&id)) {
             older.superseded = true;
-            self.lived(name, short);
         }
         for duty in offers.iter().filter(|duty| !self.duties.contains_key(duty)).cloned().collect::<Vec<_>>()
         {
@@ -367,7 +372,7 @@
 
     fn lived(&mut self, name: &str, short: bool) {
         if let Some(name) = self.names.get_mut(name) {
-            name.short_lives = if short { name.short_lives.saturating_add(1) } else { 0 };
+            name.last_short = short;
         }
     }
 
--- a/crates/cairncrank-duty/src/warden.rs
+++ b/crates/cairncrank-duty/src/warden.rs
@@ -117,7 +117,7 @@
         due
     }
 
-    /// A proposal did not get into the log.
+    /// A proposal did not get into the log, or was refused when it was applied: what it was about is open again.
     pub fn dropped(&mut self, command: &Command) {
         match command {
             Command::End { session, .. } => {
--- a/crates/cairncrank-duty/tests/agreement.rs
+++ b/crates/cairncrank-duty/tests/agreement.rs
@@ -24,6 +24,9 @@
         self.index += 1;
         let outcome = self.state.apply(self.index, command);
         self.warden.applied(now, &self.state);
+        if matches!(outcome, Outcome::Refused(_)) {
+            self.warden.dropped(command);
+        }
         outcome
     }
 
@@ -107,6 +110,28 @@
     assert!(fleet.state.duties()[&duty()].floor > token);
 }
 
+/// Found by the rig (three keepers, seed 3): a duty stayed without an owner for ten seconds, until the leader changed.
+#[test]
+fn a_grant_that_came_too_late_for_its_member_is_made_to_another() {
+    let mut fleet = Fleet::new();
+    let (a, b) = (fleet.session(0, "a", 1), fleet.session(0, "b", 2));
+    for id in [a, b] {
+        fleet.warden.renewed(id, fleet.state.seats_revision(), SECOND, &fleet.state).unwrap();
+    }
+    for settle in fleet.warden.due(SECOND, &fleet.state) {
+        fleet.apply(SECOND, &settle);
+    }
+    let grant = fleet.warden.due(SECOND, &fleet.state).remove(0);
+    let Command::Grant { session: chosen, .. } = grant else { panic!("{grant:?}") };
+    let other = if chosen == a { b } else { a };
+    let name = if chosen == a { "a" } else { "b" };
+    // A later process of that name is there before the grant is applied.
+    fleet.session(SECOND, name, 9);
+    assert_eq!(fleet.apply(SECOND, &grant), Outcome::Refused(Reason::NoSession));
+    let again = fleet.warden.due(SECOND, &fleet.state);
+    assert!(matches!(again[..], [Command::Grant { session, .. }] if session == other), "{again:?}");
+}
+
 #[test]
 fn a_session_whose_end_was_proposed_is_not_renewed_unless_the_proposal_is_lost() {
     let mut fleet = Fleet::new();
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cairncrank_duty::{DutyId, Holder, Reason, Revision, SessionId, Times, Token};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::clock;
@@ -46,7 +46,7 @@
     roster: Rc<RefCell<(Revision, Vec<Peer>)>>,
     /// Changes whenever what is owned or known may have changed.
     changed: watch::Sender<u64>,
-    leaving: Rc<Notify>,
+    leaving: watch::Sender<bool>,
     record: Recorder,
 }
 
@@ -79,7 +79,7 @@
             holder: Rc::new(RefCell::new(holder)),
             roster: Rc::default(),
             changed: watch::Sender::new(0),
-            leaving: Rc::default(),
+            leaving: watch::Sender::new(false),
             record,
         }
     }
@@ -119,9 +119,10 @@
         self.holder.borrow().may_act(duty, token, clock::now())
     }
 
-    /// Gives the session back, and with it all duties; [`Member::run`] then ends.
+    /// Gives the session back, and with it all duties; [`Member::run`] then ends. Where no keeper is reached within
+    /// the time of two calls the session is left to end by itself.
     pub fn leave(&self) {
-        self.leaving.notify_one();
+        self.leaving.send_replace(true);
     }
 
     /// Stays a member for as long as it is let.
@@ -138,10 +139,7 @@
             let started = Instant::now();
             let next = tokio::select! {
                 next = self.with_keeper(keeper, boot) => next,
-                () = self.leaving.notified() => {
-                    self.holder.borrow_mut().gone();
-                    return Ended::Left;
-                }
+                () = self.left_long_enough() => Ok(Next::End(Ended::Left)),
             };
             self.changed.send_modify(|count| *count += 1);
             if started.elapsed() > Duration::from_micros(self.settings.times.lease) {
@@ -170,6 +168,13 @@
         }
     }
 
+    /// Ends when this member was told to leave and has tried to say so for the time of two calls.
+    async fn left_long_enough(&self) {
+        if self.leaving.subscribe().wait_for(|leaving| *leaving).await.is_ok() {
+            sleep(Duration::from_micros(2 * self.settings.times.call)).await;
+        }
+    }
+
     fn hello(&self) -> Hello {
         let who = Who::Member { name: self.settings.name.clone() };
         Hello { schema: SCHEMA, installation: self.settings.installation.clone(), who }
@@ -192,11 +197,15 @@
             },
         };
         let mut id = 0;
+        let mut told = self.leaving.subscribe();
         loop {
             let now = clock::now();
             // A session that is over by this clock is given up: what was known may be old, and a new one learns anew.
             let session = self.holder.borrow().session(now).map(|session| session.id);
+            let leaving = *self.leaving.borrow();
             let ask = match session {
+                None if leaving => return Ok(Next::End(Ended::Left)),
+                Some(session) if leaving => Ask::Leave { session },
                 Some(session) => Ask::Renew {
                     session,
                     seen: self.holder.borrow().seen(),
@@ -222,6 +231,9 @@
                     FromKeeper::News(of, view) => news |= self.hear(of, view),
                 }
             };
+            if leaving && matches!(answer, Answer::Done | Answer::Refused(_)) {
+                return Ok(Next::End(Ended::Left));
+            }
             if let Some(next) = self.learn(session, asked, answer) {
                 return Ok(next);
             }
@@ -242,16 +254,7 @@
                         FromKeeper::Answer(..) => {}
                     },
                     () = sleep_until(due) => break,
-                    () = self.leaving.notified() => {
-                        if let Some(session) = session {
-                            // What is known to be given back is not used while the keepers are told.
-                            self.holder.borrow_mut().gone();
-                            id += 1;
-                            link.send(&Request { id, ask: Ask::Leave { session } }).await?;
-                            let _ = tokio::time::timeout(call, link.next::<FromKeeper>()).await;
-                        }
-                        return Ok(Next::End(Ended::Left));
-                    }
+                    _ = told.wait_for(|leaving| *leaving) => break,
                 }
             }
         }
--- a/crates/cairncrank-keeper/src/node.rs
+++ b/crates/cairncrank-keeper/src/node.rs
@@ -197,7 +197,7 @@
         let raw = RawNode::new(&config, Store { log, snapshot }, &logger).map_err(raft_fault)?;
         let commits =
             Histogram::new_with_bounds(1, 600_000_000, 2).map_err(|error| Stop::Start(error.to_string()))?;
-        let mut node = Node {
+        Ok(Node {
             raw,
             disk,
             identity,
@@ -220,9 +220,7 @@
             commits,
             digests: false,
             out: Vec::new(),
-        };
-        node.work(0)?;
-        Ok(node)
+        })
     }
 
     /// What this keeper says of its disk.
@@ -556,6 +554,9 @@
             let outcome = self.state.apply(entry.index, &command);
             if let Some(warden) = &mut self.warden {
                 warden.applied(now, &self.state);
+                if matches!(outcome, Outcome::Refused(_)) {
+                    warden.dropped(&command);
+                }
             }
             let own = postcard::from_bytes::<(u64, u64)>(&entry.context)
                 .ok()
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/checker.rs
@@ -0,0 +1,245 @@
+//! Checks of a schedule by the records that its processes left, and by nothing else.
+//!
+//! All records of a machine have one clock. A keeper records a grant after it was agreed, an owner and a receiver
+//! record the reading of the clock on which they decided. So whatever decided later than a record of a later grant
+//! broke the rule, and no order of writing can make a sound run look broken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::plan::Kind;
+
+/// A line of a record.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Line {
+    /// The reading of the clock, in microseconds.
+    pub t: u64,
+    /// What kind of line.
+    pub kind: String,
+    /// The rest.
+    #[serde(flatten)]
+    pub rest: BTreeMap<String, Value>,
+}
+
+impl Line {
+    fn number(&self, key: &str) -> Option<u64> {
+        self.rest.get(key)?.as_u64()
+    }
+
+    fn text(&self, key: &str) -> Option<&str> {
+        self.rest.get(key)?.as_str()
+    }
+}
+
+/// What the rig did, by the same clock.
+#[derive(Debug, Clone)]
+pub struct Done {
+    /// When.
+    pub t: u64,
+    /// What.
+    pub kind: Kind,
+    /// Until when.
+    pub until: u64,
+    /// The term that the owner had whom it was done to, where it was done to an owner.
+    pub token: Option<u64>,
+}
+
+/// Records by process.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Keepers, by number.
+    pub keepers: BTreeMap<u64, Vec<Line>>,
+    /// Members, by name.
+    pub members: BTreeMap<String, Vec<Line>>,
+}
+
+/// What a checker found, by rule.
+pub type Violations = BTreeMap<&'static str, Vec<String>>;
+
+/// The rules that are checked.
+pub const RULES: [&str; 8] = [
+    "keepers apply the same",
+    "tokens only grow",
+    "no effect of an ended term is taken",
+    "no owner acts when a later term was granted",
+    "tokens grow at every receiver",
+    "only granted tokens are used",
+    "well again when all is healed",
+    "a keeper without its memory does not serve",
+];
+
+/// Reads one file of records. A last line that was cut by a kill is left out.
+///
+/// # Errors
+/// The file is there and cannot be read, or a line in its middle is none.
+pub fn read(path: &Path) -> Result<Vec<Line>, String> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(error) => return Err(format!("{}: {error}", path.display())),
+    };
+    let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+    let line = |(at, line): (usize, &str)| {
+        serde_json::from_str(line).map_err(|error| format!("{}:{}: {error}", path.display(), at + 1))
+    };
+    whole.lines().enumerate().map(line).collect()
+}
+
+/// A grant, as the first keeper recorded it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Grant {
+    index: u64,
+    duty: String,
+    token: u64,
+    t: u64,
+}
+
+fn grants(records: &Records) -> Vec<Grant> {
+    let mut grants: BTreeMap<u64, Grant> = BTreeMap::new();
+    for line in records.keepers.values().flatten().filter(|line| line.kind == "applied") {
+        let (Some(index), Some(duty), Some(token)) =
+            (line.number("index"), line.text("granted"), line.number("token"))
+        else {
+            continue;
+        };
+        let new = Grant { index, duty: duty.to_owned(), token, t: line.t };
+        let known = grants.entry(index).or_insert_with(|| new.clone());
+        known.t = known.t.min(line.t);
+    }
+    grants.into_values().collect()
+}
+
+/// Checks all rules but the last, which the end of a schedule decides.
+pub fn check(records: &Records) -> Violations {
+    let mut found = Violations::new();
+    let mut digests: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+    for (keeper, lines) in &records.keepers {
+        for line in lines.iter().filter(|line| line.kind == "applied") {
+            let (Some(index), Some(digest)) = (line.number("index"), line.number("digest")) else { continue };
+            let (first, known) = *digests.entry(index).or_insert((*keeper, digest));
+            if known != digest {
+                let text = format!("entry {index}: keeper {keeper} is not where keeper {first} is");
+                found.entry(RULES[0]).or_default().push(text);
+            }
+        }
+    }
+    let grants = grants(records);
+    for pair in grants.windows(2).filter(|pair| pair[0].token >= pair[1].token) {
+        let text = format!("entry {} granted {} after {}", pair[1].index, pair[1].token, pair[0].token);
+        found.entry(RULES[1]).or_default().push(text);
+    }
+    let known: BTreeSet<(&str, u64)> =
+        grants.iter().map(|grant| (grant.duty.as_str(), grant.token)).collect();
+    // The moment at which each term was over for good: the next grant of the same duty.
+    let mut ended: BTreeMap<(&str, u64), u64> = BTreeMap::new();
+    for grant in &grants {
+        for older in grants.iter().filter(|older| older.duty == grant.duty && older.token < grant.token) {
+            let at = ended.entry((&older.duty, older.token)).or_insert(grant.t);
+            *at = (*at).min(grant.t);
+        }
+    }
+    for (member, lines) in &records.members {
+        let mut highest: BTreeMap<&str, u64> = BTreeMap::new();
+        for line in lines {
+            if line.kind == "started" {
+                highest.clear();
+            }
+            let (Some(duty), Some(token)) = (line.text("duty"), line.number("token")) else { continue };
+            let late = ended.get(&(duty, token)).filter(|ended| line.t > **ended).map(|ended| line.t - ended);
+            let rule = match line.kind.as_str() {
+                "taken" => RULES[2],
+                "acted" => RULES[3],
+                _ => continue,
+            };
+            if !known.contains(&(duty, token)) {
+                found.entry(RULES[5]).or_default().push(format!("{member} {} {duty} {token}", line.kind));
+            }
+            if let Some(late) = late {
+                let text =
+                    format!("{member} {} {duty} token {token} {late} us after the next grant", line.kind);
+                found.entry(rule).or_default().push(text);
+            }
+            if line.kind == "taken" {
+                let highest = highest.entry(duty).or_insert(token);
+                if token < *highest {
+                    let text = format!("{member} took {duty} token {token} after {highest}");
+                    found.entry(RULES[4]).or_default().push(text);
+                }
+                *highest = token.max(*highest);
+            }
+        }
+    }
+    found
+}
+
+/// From a fault at an owner to the first effect of a later term that somebody took, in microseconds, by kind.
+///
+/// Only the first fault of a term counts, and only one that has to end it: a stop or a cut that is shorter than the
+/// lease may go by unnoticed, and so may not hearing members.
+pub fn takeovers(records: &Records, done: &[Done], lease: u64) -> BTreeMap<Kind, Vec<u64>> {
+    let mut taken: BTreeMap<u64, u64> = BTreeMap::new();
+    for line in records.members.values().flatten().filter(|line| line.kind == "taken") {
+        if let Some(token) = line.number("token") {
+            let first = taken.entry(token).or_insert(line.t);
+            *first = (*first).min(line.t);
+        }
+    }
+    let mut counted = BTreeSet::new();
+    let mut takeovers: BTreeMap<Kind, Vec<u64>> = BTreeMap::new();
+    for fault in done {
+        let Some(token) = fault.token.filter(|token| counted.insert(*token)) else { continue };
+        let ends = match fault.kind {
+            Kind::KillOwner | Kind::EndOwner | Kind::StopAsking => true,
+            Kind::StopOwner | Kind::CutOwnerKeepers | Kind::OneWayOwner => fault.until >= fault.t + 2 * lease,
+            _ => false,
+        };
+        let next = taken.range(token + 1..).map(|(_, t)| *t).filter(|t| *t > fault.t).min();
+        if let Some(next) = next.filter(|_| ends) {
+            takeovers.entry(fault.kind).or_default().push(next - fault.t);
+        }
+    }
+    takeovers
+}
+
+/// Effects that were refused, over all members.
+pub fn refused(records: &Records) -> u64 {
+    records.members.values().flatten().filter(|line| line.kind == "refused").count() as u64
+}
+
+/// Effects that were taken, over all members.
+pub fn taken(records: &Records) -> u64 {
+    records.members.values().flatten().filter(|line| line.kind == "taken").count() as u64
+}
+
+/// Whether somebody took an effect after this time.
+pub fn alive_after(records: &Records, t: u64) -> bool {
+    records.members.values().flatten().any(|line| line.kind == "taken" && line.t > t)
+}
+
+/// The highest token that a keeper has recorded as granted.
+pub fn newest(records: &Records) -> Option<(u64, u64)> {
+    let lines = records.keepers.values().flatten().filter(|line| line.kind == "applied");
+    lines.filter_map(|line| Some((line.number("token")?, line.number("session")?))).max()
+}
+
+/// The member of a session, by the keepers' records.
+pub fn member_of(records: &Records, session: u64) -> Option<String> {
+    let lines = records.keepers.values().flatten().filter(|line| line.number("joined") == Some(session));
+    lines.filter_map(|line| line.text("name")).next().map(str::to_owned)
+}
+
+/// The keeper that recorded last that it leads.
+pub fn leader(records: &Records) -> Option<u64> {
+    let leads = |line: &&Line| line.kind == "leads" && line.number("term").is_some();
+    let last =
+        |(keeper, lines): (&u64, &Vec<Line>)| Some((lines.iter().rfind(leads)?.number("term")?, *keeper));
+    records.keepers.iter().filter_map(last).max().map(|(_, keeper)| keeper)
+}
+
+/// How many terms were granted.
+pub fn terms(records: &Records) -> u64 {
+    grants(records).len() as u64
+}
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/light.rs
@@ -0,0 +1,118 @@
+//! A member without jobs: the real session, the real links, and a duty whose effects say nothing but their token.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Flaw, Holder, Times};
+use cairncrank_fleet::effects::{receive, Publisher};
+use cairncrank_fleet::member::{Ended, Member, Settings};
+use cairncrank_fleet::record::Recorder;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::sleep;
+
+/// How often an owner has something to say, and in how many pieces with how much time between them.
+const ROUND: Duration = Duration::from_millis(50);
+const PIECES: u32 = 5;
+const PIECE: Duration = Duration::from_millis(4);
+
+/// What a light member is told, as JSON.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Light {
+    /// The installation.
+    pub installation: String,
+    /// Its name.
+    pub name: String,
+    /// Where it takes effects.
+    pub listen: SocketAddr,
+    /// Where others are told that it is.
+    pub address: SocketAddr,
+    /// The address that its connections come from.
+    pub bind: Option<IpAddr>,
+    /// The keepers.
+    pub keepers: BTreeMap<u64, SocketAddr>,
+    /// The duties that it offers.
+    pub duties: Vec<String>,
+    /// The times, as the keepers have them.
+    pub times: Times,
+    /// Where it records.
+    pub record: Option<PathBuf>,
+    /// A flaw put in, by name.
+    pub bug: Option<String>,
+    /// Its seed.
+    pub seed: u64,
+}
+
+/// Runs a light member until it is told to end.
+///
+/// # Errors
+/// It cannot start.
+pub fn run(file: &Path) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let light: Light = serde_json::from_str(&text).map_err(|error| format!("{}: {error}", file.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| error.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, live(light))
+}
+
+async fn live(light: Light) -> Result<(), String> {
+    let bug = light.bug.as_deref();
+    let flaw: Option<Flaw> =
+        bug.and_then(|name| Flaw::names().iter().find(|(known, _)| *known == name)).map(|(_, f)| *f);
+    let record = match &light.record {
+        Some(path) => Recorder::to(path).map_err(|error| format!("{}: {error}", path.display()))?,
+        None => Recorder::default(),
+    };
+    let offers: Result<Vec<DutyId>, String> = light.duties.iter().map(|duty| duty.parse()).collect();
+    let listener =
+        TcpListener::bind(light.listen).await.map_err(|error| format!("{}: {error}", light.listen))?;
+    let settings = Settings {
+        installation: light.installation,
+        name: light.name,
+        zone: String::new(),
+        address: light.address.to_string(),
+        keepers: light.keepers,
+        bind: light.bind,
+        times: light.times,
+        offers: offers?,
+        seed: light.seed,
+    };
+    let member = Member::new(settings, Holder::new(light.times).with_flaw(flaw), record);
+    member.record().put(cairncrank_fleet::clock::now(), "started", serde_json::json!({}));
+    tokio::task::spawn_local(receive(member.clone(), listener, |_| {}));
+    tokio::task::spawn_local(own(member.clone()));
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let leaver = member.clone();
+    tokio::task::spawn_local(async move {
+        terminate.recv().await;
+        leaver.leave();
+    });
+    match member.run().await {
+        Ended::Left => Ok(()),
+        Ended::Superseded { .. } | Ended::Refused(_) => {
+            // No member any more, and alive: it would go on with its own work.
+            sleep(Duration::from_secs(3_600)).await;
+            Ok(())
+        }
+    }
+}
+
+/// Does the rounds of every duty that this member owns.
+async fn own(member: Member) {
+    let mut terms: BTreeMap<DutyId, Publisher> = BTreeMap::new();
+    loop {
+        let owned = member.owned();
+        terms.retain(|duty, term| owned.iter().any(|(owned, token)| owned == duty && *token == term.token()));
+        for (duty, token) in owned {
+            terms.entry(duty.clone()).or_insert_with(|| Publisher::new(&member, duty, token));
+        }
+        for _ in 0..PIECES {
+            terms.values_mut().for_each(|term| term.say(Vec::new()));
+            sleep(PIECE).await;
+        }
+        sleep(ROUND).await;
+    }
+}
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -1,3 +1,14 @@
 //! Several processes of the program, with faults between them, and models of what they agree on.
+//!
+//! [`plan`] reads an experiment and draws schedules of faults by seed; [`rig`] plays one with real processes, every
+//! link between two of them through [`proxy`]; [`checker`] reads the records that the processes left, and nothing
+//! else; [`results`] adds up. [`light`] is a member without jobs, on the real transport. [`model`] checks the protocol
+//! in every order of events.
 
+pub mod checker;
+pub mod light;
 pub mod model;
+pub mod plan;
+pub mod proxy;
+pub mod results;
+pub mod rig;
--- a/crates/cairncrank-lab/src/fleet/model.rs
+++ b/crates/cairncrank-lab/src/fleet/model.rs
@@ -110,6 +110,9 @@
         self.index += 1;
         let outcome = self.state.apply(self.index, command);
         self.warden.applied(self.now, &self.state);
+        if matches!(outcome, Outcome::Refused(_)) {
+            self.warden.dropped(command);
+        }
         if matches!(outcome, Outcome::Granted(..)) && self.state.next_token() > Token(2) {
             self.handed_over = true;
         }
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/proxy.rs
@@ -0,0 +1,181 @@
+//! A proxy between processes that breaks what passes: delay, stall and cut by direction, reset in the middle of a
+//! frame, a second connection that says the same again, a narrow line.
+//!
+//! Who connects is known by the address that it comes from, since each process of a rig has one of its own.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// What is wrong with one direction between two processes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Trouble {
+    /// Nothing passes; what was sent waits.
+    pub cut: bool,
+    /// Everything is later by this.
+    pub delay: Duration,
+    /// Bytes a second, or 0 for as many as there are.
+    pub rate: u64,
+    /// The part of new connections that are reset after a few bytes, in the middle of a frame.
+    pub resets: f64,
+    /// The part of new connections whose bytes arrive a second time on a connection of their own.
+    pub doubles: f64,
+}
+
+/// Who a process is to the proxies of a rig.
+pub type Name = usize;
+
+/// The directions that are in trouble.
+#[derive(Debug)]
+pub struct Net {
+    troubles: BTreeMap<(Name, Name), Trouble>,
+    names: BTreeMap<IpAddr, Name>,
+    random: Pcg64,
+    /// Connections that were reset, and that were doubled.
+    pub resets: u64,
+    /// See [`Net::resets`].
+    pub doubles: u64,
+}
+
+/// All proxies of a rig share it.
+pub type Shared = Rc<RefCell<Net>>;
+
+impl Net {
+    /// A net without troubles, where connections from these addresses are known.
+    pub fn new(names: BTreeMap<IpAddr, Name>, seed: u64) -> Shared {
+        let random = Pcg64::seed_from_u64(seed);
+        Rc::new(RefCell::new(Net { troubles: BTreeMap::new(), names, random, resets: 0, doubles: 0 }))
+    }
+
+    /// Changes one direction.
+    pub fn set(&mut self, from: Name, to: Name, change: impl FnOnce(&mut Trouble)) {
+        change(self.troubles.entry((from, to)).or_default());
+    }
+
+    /// Ends all troubles.
+    pub fn heal(&mut self) {
+        self.troubles.clear();
+    }
+
+    fn get(&self, from: Name, to: Name) -> Trouble {
+        self.troubles.get(&(from, to)).copied().unwrap_or_default()
+    }
+}
+
+/// Stands before a process for as long as the listener lasts.
+pub async fn stand_before(net: Shared, listener: TcpListener, name: Name, target: SocketAddr) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let from = net.borrow().names.get(&from.ip()).copied();
+        // A stranger, such as an operator's tool, passes untouched, as from itself.
+        spawn_local(carry(net.clone(), stream, from.unwrap_or(name), name, target));
+    }
+}
+
+async fn carry(net: Shared, stream: TcpStream, from: Name, to: Name, target: SocketAddr) {
+    let (reset, double) = {
+        let mut net = net.borrow_mut();
+        let trouble = net.get(from, to);
+        let reset = net.random.random_bool(trouble.resets).then(|| net.random.random_range(1..200usize));
+        let double = net.random.random_bool(trouble.doubles);
+        net.resets += u64::from(reset.is_some());
+        net.doubles += u64::from(double);
+        (reset, double)
+    };
+    let Ok(other) = TcpStream::connect(target).await else { return };
+    let _ = (stream.set_nodelay(true), other.set_nodelay(true));
+    let second = match double {
+        true => TcpStream::connect(target).await.ok(),
+        false => None,
+    };
+    let (near_read, near_write) = stream.into_split();
+    let (far_read, far_write) = other.into_split();
+    let (second_read, second_write) = second.map(TcpStream::into_split).unzip();
+    // What is said back to the doubled bytes is read and dropped, so that it does not block the other end.
+    if let Some(mut read) = second_read {
+        spawn_local(async move {
+            let mut sink = [0; 4_096];
+            while matches!(read.read(&mut sink).await, Ok(n) if n > 0) {}
+        });
+    }
+    let there = pump(net.clone(), (from, to), near_read, far_write, second_write, reset);
+    let back = pump(net.clone(), (to, from), far_read, near_write, None, None);
+    // Either end closing ends both, as does the reset.
+    tokio::select! {
+        () = there => {}
+        () = back => {}
+    }
+}
+
+async fn pump(
+    net: Shared,
+    (from, to): (Name, Name),
+    mut read: OwnedReadHalf,
+    mut write: OwnedWriteHalf,
+    mut second: Option<OwnedWriteHalf>,
+    reset: Option<usize>,
+) {
+    let (sender, mut chunks) = mpsc::channel::<(Instant, Vec<u8>)>(64);
+    let reader = async {
+        let mut buffer = vec![0; 16_384];
+        loop {
+            let Ok(n) = read.read(&mut buffer).await else { return };
+            if n == 0 {
+                return;
+            }
+            let due = Instant::now() + net.borrow().get(from, to).delay;
+            if sender.send((due, buffer[..n].to_vec())).await.is_err() {
+                return;
+            }
+        }
+    };
+    let mut left = reset;
+    let writer = async {
+        while let Some((due, mut chunk)) = chunks.recv().await {
+            sleep_until(due).await;
+            while net.borrow().get(from, to).cut {
+                sleep(Duration::from_millis(5)).await;
+            }
+            if let Some(left) = &mut left {
+                if chunk.len() >= *left {
+                    chunk.truncate(*left);
+                    let _ = write.write_all(&chunk).await;
+                    return;
+                }
+                *left -= chunk.len();
+            }
+            let rate = net.borrow().get(from, to).rate;
+            let piece = if rate == 0 { chunk.len() } else { (rate / 50).max(1) as usize };
+            for piece in chunk.chunks(piece) {
+                if write.write_all(piece).await.is_err() {
+                    return;
+                }
+                if rate != 0 {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+            if let Some(second) = &mut second {
+                let _ = second.write_all(&chunk).await;
+            }
+        }
+    };
+    tokio::select! {
+        // What was read before the end is still delivered.
+        () = async { reader.await; std::future::pending::<()>().await } => {}
+        () = writer => {}
+    }
+}
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -5,7 +5,11 @@
 use std::time::Instant;
 
 use cairncrank_duty::Flaw;
+use cairncrank_lab::fleet::light;
 use cairncrank_lab::fleet::model::{search, Bounds};
+use cairncrank_lab::fleet::plan::Plan;
+use cairncrank_lab::fleet::results::run as fleet_run;
+use cairncrank_lab::fleet::rig::Programs;
 use cairncrank_lab::report::{compare, Results};
 use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
@@ -41,7 +45,13 @@
         /// With the drive over sockets: the program; else the one beside this tool.
         #[arg(long)]
         program: Option<PathBuf>,
-        /// With the drive over sockets: days side by side.
+        /// With the drive `fleet`: a flaw to put in, or `list`.
+        #[arg(long)]
+        seeded_bug: Option<String>,
+        /// With the drive `fleet`: only this arm.
+        #[arg(long)]
+        arm: Option<String>,
+        /// With the drives over sockets and `fleet`: days or schedules side by side.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
         at_once: u16,
     },
@@ -52,6 +62,12 @@
         /// The results after.
         after: PathBuf,
     },
+    /// A member without jobs, as the drive `fleet` starts it.
+    #[command(hide = true)]
+    LightMember {
+        /// What it is told, JSON.
+        file: PathBuf,
+    },
     /// Checks the ownership protocol in every order of events up to a bound.
     Model {
         /// Members.
@@ -96,6 +112,49 @@
     }
 }
 
+fn list_flaws() {
+    Flaw::names().iter().for_each(|(name, _)| println!("{name}"));
+}
+
+/// Whether an experiment is one with processes of a fleet. What cannot be read is complained of later.
+fn is_fleet(file: &Path) -> bool {
+    std::fs::read_to_string(file).is_ok_and(|text| Plan::is_one("", &text))
+}
+
+fn run_fleet(
+    file: &Path,
+    (first, count): (u64, u64),
+    out: &Path,
+    lanes: u16,
+    bug: Option<&str>,
+    arm: Option<&str>,
+) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let mut plan = Plan::read(&file.display().to_string(), &text).map_err(|fault| fault.to_string())?;
+    flaw(bug)?;
+    if let Some(arm) = arm {
+        plan.arms.retain(|known| known.name == arm);
+        if plan.arms.is_empty() {
+            return Err(format!("--arm: there is no arm {arm:?}"));
+        }
+    }
+    let seeds: Vec<u64> = (first..first.saturating_add(count)).collect();
+    let lab = std::env::current_exe().map_err(|error| error.to_string())?;
+    let programs = Programs { keeper: beside("cairncrank-keeper")?, lab };
+    let bar = ProgressBar::new((seeds.len() * plan.arms.len()) as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} schedules, {eta} left") {
+        bar.set_style(style);
+    }
+    let results = fleet_run(&plan, &seeds, &programs, out, bug, lanes.into(), &bar)?;
+    bar.finish_and_clear();
+    results.write(out).map_err(|error| format!("{}: {error}", out.display()))?;
+    print!("{}", results.table());
+    match results.broken() {
+        true => Err("rules were broken, see above and results.json".to_owned()),
+        false => Ok(()),
+    }
+}
+
 fn model(bounds: Bounds, bug: Option<&str>, threads: usize) -> Result<(), String> {
     let start = Instant::now();
     let found = search(flaw(bug)?, bounds, threads);
@@ -116,9 +175,9 @@
 }
 
 /// The program that stands beside this tool.
-fn beside() -> Result<PathBuf, String> {
+fn beside(name: &str) -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
-    let program = own.with_file_name(format!("cairncrank{}", std::env::consts::EXE_SUFFIX));
+    let program = own.with_file_name(format!("{name}{}", std::env::consts::EXE_SUFFIX));
     match program.is_file() {
         true => Ok(program),
         false => Err(format!("--program: there is no {}; build it, or name another", program.display())),
@@ -145,7 +204,7 @@
     let (runs, drive) = match drive {
         Drive::Virtual => (virtual_runs(&experiment, &seeds, &bar), "virtual"),
         Drive::Sockets => {
-            let program = program.map_or_else(beside, Ok)?;
+            let program = program.map_or_else(|| beside("cairncrank"), Ok)?;
             let played = socket_runs(&mut experiment, &seeds, &program, at_once.into(), &bar);
             let (runs, left_out) = played.map_err(|error| error.to_string())?;
             if !left_out.is_empty() {
@@ -191,7 +250,15 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { file, seed, seeds, out, drive, program, at_once } => {
+        Command::Run { seeded_bug, .. } if seeded_bug.as_deref() == Some("list") => {
+            list_flaws();
+            Ok(())
+        }
+        Command::Run { file, seed, seeds, out, at_once, seeded_bug, arm, .. } if is_fleet(&file) => {
+            run_fleet(&file, (seed, seeds), &out, at_once, seeded_bug.as_deref(), arm.as_deref())
+        }
+        Command::LightMember { file } => light::run(&file),
+        Command::Run { file, seed, seeds, out, drive, program, at_once, .. } => {
             run(&file, (seed, seeds), &out, drive, program, at_once)
         }
         Command::Compare { before, after } => results(&before).and_then(|before| {
@@ -201,7 +268,7 @@
         }),
         Command::Model { members, time, messages, seeded_bug, threads } => match seeded_bug.as_deref() {
             Some("list") => {
-                Flaw::names().iter().for_each(|(name, _)| println!("{name}"));
+                list_flaws();
                 Ok(())
             }
             bug => model(Bounds { members, time, messages, ..Bounds::default() }, bug, threads),
