--- /dev/null
+++ b/crates/cairncrank-keeper/tests/cluster.rs
@@ -0,0 +1,279 @@
+//! Keepers as values, with disks and a clock of the test's own: no sockets, no real time, every message by hand.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use cairncrank_duty::{DutyId, Outcome, Reason, SessionId, Times, Token};
+use cairncrank_fleet::wire::{Answer, Ask, Disk as Identity, FromKeeper, Request, Turned};
+use cairncrank_keeper::disk::{self, Disk};
+use cairncrank_keeper::node::{Node, Out};
+use cairncrank_keeper::Stop;
+
+const TICK: u64 = 40_000;
+
+struct Cluster {
+    folder: tempfile::TempDir,
+    nodes: BTreeMap<u64, Node>,
+    now: u64,
+    answers: Vec<Answer>,
+    granted: Vec<(SessionId, Token)>,
+    digests: BTreeMap<u64, u64>,
+    next: u64,
+}
+
+impl Cluster {
+    fn new() -> Cluster {
+        let mut cluster = Cluster {
+            folder: tempfile::tempdir().unwrap(),
+            nodes: BTreeMap::new(),
+            now: 0,
+            answers: Vec::new(),
+            granted: Vec::new(),
+            digests: BTreeMap::new(),
+            next: 0,
+        };
+        for keeper in 1..=3 {
+            disk::bootstrap(&cluster.store(keeper), "test", keeper, &[1, 2, 3], 1, 100 + keeper).unwrap();
+            cluster.start(keeper);
+        }
+        cluster
+    }
+
+    fn store(&self, keeper: u64) -> PathBuf {
+        self.folder.path().join(keeper.to_string())
+    }
+
+    fn start(&mut self, keeper: u64) {
+        let (disk, found) = Disk::open(&self.store(keeper), "test", keeper).unwrap();
+        self.next += 1;
+        let mut node = Node::new(disk, found, Times::default(), TICK, keeper << 32 | self.next).unwrap();
+        node.digest(true);
+        self.nodes.insert(keeper, node);
+    }
+
+    /// Lets so much time pass, and delivers every message between the keepers that are there.
+    fn pass(&mut self, micros: u64) {
+        let end = self.now + micros;
+        while self.now < end {
+            self.now += TICK;
+            for node in self.nodes.values_mut() {
+                node.tick(self.now).unwrap();
+            }
+            self.deliver();
+        }
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let mut messages = Vec::new();
+            for (keeper, node) in &mut self.nodes {
+                for out in node.take() {
+                    match out {
+                        Out::Raft(message) => messages.push((*keeper, message)),
+                        Out::Say(_, FromKeeper::Answer(_, answer)) => self.answers.push(answer),
+                        Out::Applied { index, outcome, digest, .. } => {
+                            let known = self.digests.entry(index).or_insert(digest);
+                            assert_eq!(*known, digest, "entry {index} at keeper {keeper}");
+                            if let Outcome::Granted(_, owner) = outcome {
+                                self.granted.push((owner.session, owner.token));
+                            }
+                        }
+                        Out::Say(..) | Out::News(_) | Out::Leads(_) => {}
+                    }
+                }
+            }
+            if messages.is_empty() {
+                return;
+            }
+            for (from, message) in messages {
+                if let Some(node) = self.nodes.get_mut(&message.to) {
+                    node.message(from, message, self.now).unwrap();
+                }
+            }
+        }
+    }
+
+    fn leader(&mut self) -> u64 {
+        for _ in 0..100 {
+            if let Some((keeper, _)) = self.nodes.iter().find(|(_, node)| node.leads()) {
+                return *keeper;
+            }
+            self.pass(TICK);
+        }
+        panic!("nobody leads after 4 s");
+    }
+
+    fn ask(&mut self, ask: Ask) -> Answer {
+        let leader = self.leader();
+        self.next += 1;
+        self.answers.clear();
+        let request = Request { id: self.next, ask };
+        self.nodes.get_mut(&leader).unwrap().ask(7, request, self.now).unwrap();
+        for _ in 0..20 {
+            self.deliver();
+            if let Some(answer) = self.answers.pop() {
+                return answer;
+            }
+            self.pass(TICK);
+        }
+        panic!("no answer");
+    }
+
+    fn join(&mut self, name: &str, boot: u64) -> SessionId {
+        let offers = vec![DutyId::fleet("list")];
+        let (zone, address) = (String::new(), String::new());
+        match self.ask(Ask::Join { name: name.to_owned(), boot, zone, address, offers }) {
+            Answer::Joined { session, .. } => session,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Renews a session, as of a member that has seen all that there is.
+    fn renew(&mut self, session: SessionId) -> Answer {
+        self.ask(Ask::Renew { session, seen: u64::MAX, roster: Some(0) })
+    }
+
+    fn live(&mut self, sessions: &[SessionId], micros: u64) {
+        let end = self.now + micros;
+        while self.now < end {
+            for session in sessions {
+                self.renew(*session);
+            }
+            self.pass(400_000);
+        }
+    }
+
+    fn last_grant(&self) -> (SessionId, Token) {
+        self.granted.iter().copied().max_by_key(|grant| grant.1).unwrap()
+    }
+}
+
+#[test]
+fn a_duty_goes_on_when_its_owner_and_the_leader_are_lost() {
+    let mut cluster = Cluster::new();
+    let (a, b) = (cluster.join("a", 1), cluster.join("b", 2));
+    cluster.live(&[a, b], 2_000_000);
+    let (owner, token) = cluster.last_grant();
+    let other = if owner == a { b } else { a };
+    let leader = cluster.leader();
+    cluster.nodes.remove(&leader);
+    let started = cluster.now;
+    while cluster.last_grant().1 == token {
+        assert!(cluster.now - started < 3_000_000, "no next owner within 3 s");
+        cluster.renew(other);
+        cluster.pass(TICK);
+    }
+    let lease = Times::default().lease;
+    assert!(cluster.now - started > lease, "the new leader gives the running lease its full time");
+    assert_eq!(cluster.last_grant().0, other);
+    // The old leader comes back and agrees on the same.
+    cluster.start(leader);
+    cluster.live(&[other], 1_000_000);
+    let now = cluster.leader();
+    assert_eq!(cluster.nodes[&leader].status().duties, cluster.nodes[&now].status().duties);
+}
+
+#[test]
+fn tokens_and_members_outlive_all_processes_at_once() {
+    let mut cluster = Cluster::new();
+    let a = cluster.join("a", 1);
+    cluster.live(&[a], 2_000_000);
+    let (_, token) = cluster.last_grant();
+    cluster.nodes.clear();
+    (1..=3).for_each(|keeper| cluster.start(keeper));
+    assert!(matches!(cluster.renew(a), Answer::Renewed { .. }), "the session has its full time again");
+    cluster.ask(Ask::Release { duty: DutyId::fleet("list"), token: Some(token) });
+    cluster.live(&[a], 2_000_000);
+    assert!(cluster.last_grant().1 > token);
+    let stale = cluster.ask(Ask::Release { duty: DutyId::fleet("list"), token: Some(token) });
+    assert_eq!(stale, Answer::Refused(Reason::NotTheOwner));
+}
+
+#[test]
+fn a_leader_that_is_cut_off_confirms_no_renewal() {
+    let mut cluster = Cluster::new();
+    let a = cluster.join("a", 1);
+    let leader = cluster.leader();
+    let mut cut = cluster.nodes.remove(&leader).unwrap();
+    let request = Request { id: 1, ask: Ask::Renew { session: a, seen: 0, roster: None } };
+    cut.ask(7, request, cluster.now).unwrap();
+    for tick in 1..100 {
+        cut.tick(cluster.now + tick * TICK).unwrap();
+        let said: Vec<Answer> = cut
+            .take()
+            .into_iter()
+            .filter_map(|out| match out {
+                Out::Say(_, FromKeeper::Answer(_, answer)) => Some(answer),
+                _ => None,
+            })
+            .collect();
+        assert!(
+            said.iter().all(|answer| matches!(answer, Answer::Busy | Answer::NotLeading { .. })),
+            "{said:?}"
+        );
+        if !said.is_empty() {
+            return;
+        }
+    }
+    panic!("it never said that it cannot");
+}
+
+#[test]
+fn the_log_is_cut_and_a_keeper_that_was_away_gets_the_snapshot() {
+    let mut cluster = Cluster::new();
+    let leader = cluster.leader();
+    let away = if leader == 3 { 2 } else { 3 };
+    cluster.nodes.remove(&away);
+    for round in 0..2_200u64 {
+        let session = cluster.join("a", round);
+        cluster.ask(Ask::Leave { session });
+    }
+    let leader = cluster.leader();
+    let status = cluster.nodes[&leader].status();
+    assert!(status.first > 3_000, "the log begins at {} of {}", status.first, status.applied);
+    cluster.start(away);
+    cluster.pass(2_000_000);
+    let leader = cluster.leader();
+    assert_eq!(cluster.nodes[&away].status().applied, cluster.nodes[&leader].status().applied);
+    assert_eq!(cluster.nodes[&away].next_token(), cluster.nodes[&leader].next_token());
+    // And from its own disk, after another start.
+    cluster.nodes.remove(&away);
+    cluster.start(away);
+    assert!(cluster.nodes[&away].status().applied > 3_000);
+}
+
+#[test]
+fn a_disk_that_forgot_something_is_known_by_the_others() {
+    let mut cluster = Cluster::new();
+    let node = cluster.nodes.get_mut(&1).unwrap();
+    let fresh = Identity { keeper: 2, disk: 102, boots: 5, term: 3 };
+    assert_eq!(node.greeted(fresh).unwrap(), Ok(()));
+    let old = Identity { boots: 4, ..fresh };
+    assert_eq!(node.greeted(old).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
+    let older_term = Identity { boots: 6, term: 2, ..fresh };
+    assert_eq!(node.greeted(older_term).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
+    assert_eq!(node.greeted(Identity { disk: 999, boots: 9, ..fresh }).unwrap(), Err(Turned::WrongDisk));
+    assert_eq!(node.greeted(Identity { keeper: 9, ..fresh }).unwrap(), Err(Turned::Stranger));
+    // It knows so after a start, too.
+    cluster.nodes.remove(&1);
+    cluster.start(1);
+    let again = cluster.nodes.get_mut(&1).unwrap().greeted(old).unwrap();
+    assert_eq!(again, Err(Turned::OldDisk { boots: 5, term: 3 }));
+}
+
+#[test]
+fn a_store_is_opened_by_its_keeper_only_and_made_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let store = folder.path().join("s");
+    let missing = Disk::open(&store, "test", 1).unwrap_err();
+    assert!(matches!(&missing, Stop::Disk(why) if why.contains("could vote twice")), "{missing}");
+    disk::bootstrap(&store, "test", 1, &[1, 2, 3], 1, 5).unwrap();
+    let twice = disk::bootstrap(&store, "test", 1, &[1, 2, 3], 1, 5).unwrap_err();
+    assert!(twice.to_string().contains("left alone"), "{twice}");
+    let other = Disk::open(&store, "test", 2).unwrap_err();
+    assert!(other.to_string().contains("not of keeper 2"), "{other}");
+    let stranger = Disk::open(&store, "elsewhere", 1).unwrap_err();
+    assert!(stranger.to_string().contains("elsewhere"), "{stranger}");
+    let (_, found) = Disk::open(&store, "test", 1).unwrap();
+    assert_eq!((found.identity.boots, found.identity.disk), (1, 5), "starts that failed do not count");
+}
--- /dev/null
+++ b/crates/cairncrank-keeper/tests/config.rs
@@ -0,0 +1,44 @@
+//! What a keeper is told, and what it says where that is wrong.
+
+use cairncrank_keeper::config::parse;
+
+const KEEPERS: &str = r#"
+installation = "north"
+keeper "1" {
+  address = "127.0.0.1:7101"
+}
+keeper "2" {
+  address = "127.0.0.1:7102"
+}
+keeper "3" {
+  address = "127.0.0.1:7103"
+}
+"#;
+
+fn fault(more: &str) -> String {
+    parse("keeper.hcl", &format!("{KEEPERS}{more}")).unwrap_err().to_string()
+}
+
+#[test]
+fn a_whole_configuration_is_read() {
+    let more =
+        "serve {\n  keeper = 2\n  store = \"var\"\n}\ntimes {\n  lease_ms = 2000\n}\nfirst_token = 50\n";
+    let config = parse("keeper.hcl", &format!("{KEEPERS}{more}")).unwrap();
+    let serve = config.serve.unwrap();
+    assert_eq!((serve.keeper, serve.listen.port(), config.first_token), (2, 7102, 50));
+    assert_eq!((config.times.lease, config.times.renew), (2_000_000, 400_000));
+}
+
+#[test]
+fn faults_name_file_line_and_key() {
+    let one = parse("keeper.hcl", "installation = \"a\"\nkeeper \"1\" {\n  address = \"127.0.0.1:1\"\n}\n");
+    assert!(one.unwrap_err().to_string().contains("wanted three or five keepers, found 1"));
+    let times = fault("times {\n  lease_ms = 1000\n}\n");
+    assert!(times.contains("keeper.hcl:") && times.contains("renew_ms: does not fit to lease_ms"), "{times}");
+    assert!(fault("serve {\n  keeper = 4\n  store = \"var\"\n}\n").contains("there is no block keeper \"4\""));
+    assert!(fault("serve {\n  keeper = 1\n}\n").contains("store"));
+    assert!(fault("sevre {\n}\n").contains("sevre"));
+    let twice = fault("keeper \"3\" {\n  address = \"127.0.0.1:1\"\n}\n");
+    assert!(twice.contains("keeper 3 stands here twice"), "{twice}");
+    assert!(fault("first_token = 0\n").contains("first_token"));
+}
