--- a/crates/cairncrank-fleet/src/lib.rs
+++ b/crates/cairncrank-fleet/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod clock;
 pub mod effects;
+pub mod list;
 pub mod member;
 pub mod record;
+pub mod settings;
 pub mod wire;
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -47,6 +47,8 @@
     /// Changes whenever what is owned or known may have changed.
     changed: watch::Sender<u64>,
     leaving: watch::Sender<bool>,
+    /// Terms to be given back.
+    releases: watch::Sender<Vec<(DutyId, Token)>>,
     record: Recorder,
 }
 
@@ -80,6 +82,7 @@
             roster: Rc::default(),
             changed: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
+            releases: watch::Sender::default(),
             record,
         }
     }
@@ -119,6 +122,17 @@
         self.holder.borrow().may_act(duty, token, clock::now())
     }
 
+    /// Gives a term back, because this member cannot do what it is for; another one gets the duty.
+    pub fn release(&self, duty: DutyId, token: Token) {
+        self.releases.send_if_modified(|releases| {
+            let new = !releases.contains(&(duty.clone(), token));
+            if new {
+                releases.push((duty, token));
+            }
+            new
+        });
+    }
+
     /// Gives the session back, and with it all duties; [`Member::run`] then ends. Where no keeper is reached within
     /// the time of two calls the session is left to end by itself.
     pub fn leave(&self) {
@@ -197,7 +211,7 @@
             },
         };
         let mut id = 0;
-        let mut told = self.leaving.subscribe();
+        let (mut told, mut releases) = (self.leaving.subscribe(), self.releases.subscribe());
         loop {
             let now = clock::now();
             // A session that is over by this clock is given up: what was known may be old, and a new one learns anew.
@@ -206,6 +220,10 @@
             let ask = match session {
                 None if leaving => return Ok(Next::End(Ended::Left)),
                 Some(session) if leaving => Ask::Leave { session },
+                Some(_) if !self.releases.borrow().is_empty() => {
+                    let (duty, token) = self.releases.borrow()[0].clone();
+                    Ask::Release { duty, token: Some(token) }
+                }
                 Some(session) => Ask::Renew {
                     session,
                     seen: self.holder.borrow().seen(),
@@ -220,6 +238,7 @@
                 },
             };
             id += 1;
+            let releasing = matches!(ask, Ask::Release { .. });
             let asked = clock::now();
             link.send(&Request { id, ask }).await?;
             let mut news = false;
@@ -234,6 +253,11 @@
             if leaving && matches!(answer, Answer::Done | Answer::Refused(_)) {
                 return Ok(Next::End(Ended::Left));
             }
+            if releasing && matches!(answer, Answer::Done | Answer::Refused(_)) {
+                // Done, or the term was over already.
+                self.releases.send_modify(|releases| drop(releases.remove(0)));
+                continue;
+            }
             if let Some(next) = self.learn(session, asked, answer) {
                 return Ok(next);
             }
@@ -255,6 +279,7 @@
                     },
                     () = sleep_until(due) => break,
                     _ = told.wait_for(|leaving| *leaving) => break,
+                    _ = releases.wait_for(|releases| !releases.is_empty()) => break,
                 }
             }
         }
