Let one dispatcher ask discovery for the whole fleet, where our settings name keepers

Need: each of 300 dispatchers asks discovery for itself. With a block fleet in our own settings a dispatcher is a member: one owns the duty list, follows discovery as before and tells all members the whole list with its token (at most every 50 ms); the others end their watch while they hear it. A list is taken only where discovery's own revision is higher than what is known, whatever arrived first. The owner speaks only when discovery has spoken to it, so that a silent discovery is noticed by all; then, or without keepers or owner, each asks for itself again after 3 s and a place drawn by seed, at most so many a second over the fleet. An owner whose discovery is silent for 4.5 s gives the duty back.

--- a/crates/cairncrank-fleet/src/list.rs
+++ b/crates/cairncrank-fleet/src/list.rs
@@ -21,10 +21,22 @@
     pub source: String,
     /// How many members there are, by which a fleet that loses its owner spreads its questions.
     pub members: u64,
-    /// The whole list, as discovery would tell it.
+    /// The whole list, as discovery would tell it; or only its revision, where nothing changed.
     pub list: Value,
 }
 
+impl News {
+    /// The revision of discovery's that this is about.
+    pub fn revision(&self) -> u64 {
+        self.list["revision"].as_u64().unwrap_or(0)
+    }
+
+    /// Whether the whole list is in it.
+    pub fn is_whole(&self) -> bool {
+        self.list["members"].is_array()
+    }
+}
+
 /// The list as heard from discovery piece by piece, in discovery's own words.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Ledger {
@@ -91,6 +103,11 @@
         Reliance { silence, per_second, place: place.clamp(0.0, 1.0), heard: None, members: 0 }
     }
 
+    /// The same, with the place drawn by a seed.
+    pub fn drawn(silence: Micros, per_second: f64, seed: u64) -> Reliance {
+        Reliance::new(silence, per_second, fastrand::Rng::with_seed(seed).f64())
+    }
+
     /// An owner's news were taken.
     pub fn heard(&mut self, now: Micros, members: u64) {
         self.heard = Some(now);
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -12,3 +12,4 @@
 pub mod proxy;
 pub mod results;
 pub mod rig;
+pub mod standin_discovery;
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/standin_discovery.rs
@@ -0,0 +1,143 @@
+//! A stand-in for a discovery service that all dispatchers of a fleet ask. It counts who asks.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use serde_json::{json, Value};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::sockets::http::{self, chunk, CHUNKED};
+
+/// An empty line comes this often while nothing changes.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// The service. Clones are the same one.
+#[derive(Debug, Clone)]
+pub struct Discovery {
+    shared: Rc<RefCell<Shared>>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    revision: u64,
+    /// By worker: the revision of its last change, and its entry.
+    workers: BTreeMap<String, (u64, Value)>,
+    asked: u64,
+    watches: u64,
+    silent: bool,
+}
+
+struct Open(Rc<RefCell<Shared>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.borrow_mut().watches -= 1;
+    }
+}
+
+impl Discovery {
+    /// A list of so many workers in service, none of which is there.
+    pub fn new(workers: usize) -> Discovery {
+        let discovery = Discovery { shared: Rc::default(), changed: watch::Sender::new(0) };
+        (0..workers).for_each(|worker| discovery.change(worker, "in_service"));
+        discovery
+    }
+
+    /// Changes the phase of a worker.
+    pub fn change(&self, worker: usize, phase: &str) {
+        let mut shared = self.shared.borrow_mut();
+        shared.revision += 1;
+        let id = format!("w-{worker:04}");
+        let entry = json!({
+            "id": id, "host_port": format!("127.0.0.1:{}", 9 + worker), "locality": "north", "flavor": "small",
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0,
+        });
+        let revision = shared.revision;
+        shared.workers.insert(id, (revision, entry));
+        self.changed.send_replace(revision);
+    }
+
+    /// Connections that were opened so far, and watches that are open now.
+    pub fn asked(&self) -> (u64, u64) {
+        let shared = self.shared.borrow();
+        (shared.asked, shared.watches)
+    }
+
+    /// From now on it says nothing on open watches and answers no new ones, or speaks again.
+    pub fn silent(&self, silent: bool) {
+        self.shared.borrow_mut().silent = silent;
+    }
+
+    fn list(&self, after: u64) -> Value {
+        let shared = self.shared.borrow();
+        let gone = |entry: &Value| after == 0 && entry["phase"] == "terminated";
+        let members = shared.workers.values().filter(|(revision, entry)| *revision > after && !gone(entry));
+        let members: Vec<&Value> = members.map(|(_, entry)| entry).collect();
+        json!({"revision": shared.revision, "complete": after == 0, "members": members})
+    }
+
+    /// Serves whoever connects.
+    pub async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            self.shared.borrow_mut().asked += 1;
+            let discovery = self.clone();
+            spawn_local(async move {
+                // A connection that breaks is the other side's matter.
+                let _ = discovery.connection(stream).await;
+            });
+        }
+    }
+
+    async fn spoken(&self) {
+        while self.shared.borrow().silent {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut buffer = BytesMut::new();
+        loop {
+            let Some(head) = http::head(&mut stream, &mut buffer, true, || {}).await? else { return Ok(()) };
+            let _ = http::body(&mut stream, &mut buffer, &head).await?;
+            self.spoken().await;
+            if head.path.contains("stream=1") {
+                let index = head.path.rsplit_once("index=").and_then(|(_, index)| index.parse().ok());
+                return self.watch(stream, index.unwrap_or(0)).await;
+            }
+            let whole = self.list(0).to_string();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+            stream.write_all(answer.as_bytes()).await?;
+        }
+    }
+
+    async fn watch(&self, mut stream: TcpStream, mut revision: u64) -> io::Result<()> {
+        self.shared.borrow_mut().watches += 1;
+        let _open = Open(self.shared.clone());
+        let mut changed = self.changed.subscribe();
+        stream.write_all(CHUNKED).await?;
+        let mut byte = [0];
+        loop {
+            self.spoken().await;
+            if self.shared.borrow().revision > revision {
+                let line = self.list(revision).to_string();
+                revision = self.shared.borrow().revision;
+                stream.write_all(&chunk(&line)).await?;
+            }
+            tokio::select! {
+                _ = changed.wait_for(|now| *now > revision) => {}
+                () = tokio::time::sleep(QUIET) => stream.write_all(&chunk("")).await?,
+                // Whoever watches says nothing more: this is its end.
+                _ = stream.peek(&mut byte) => return Ok(()),
+            }
+        }
+    }
+}
--- a/crates/cairncrank-lab/src/sockets/http.rs
+++ b/crates/cairncrank-lab/src/sockets/http.rs
@@ -12,18 +12,18 @@
 
 /// The head of a message, whichever way it goes.
 #[derive(Debug, Default)]
-pub(super) struct Head {
+pub(crate) struct Head {
     /// Method and path of a request; empty for an answer.
-    pub(super) path: String,
+    pub(crate) path: String,
     /// The status of an answer.
-    pub(super) status: u16,
+    pub(crate) status: u16,
     headers: Vec<(String, String)>,
     /// How long it is itself.
     length: usize,
 }
 
 impl Head {
-    pub(super) fn get(&self, name: &str) -> Option<&str> {
+    pub(crate) fn get(&self, name: &str) -> Option<&str> {
         let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
@@ -75,7 +75,7 @@
 }
 
 /// Reads a head; none where the other side ended between messages. `first` is called once the first byte is there.
-pub(super) async fn head(
+pub(crate) async fn head(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
     request: bool,
@@ -100,7 +100,7 @@
 }
 
 /// Reads the body that a head announces.
-pub(super) async fn body(stream: &mut TcpStream, buffer: &mut BytesMut, head: &Head) -> io::Result<Vec<u8>> {
+pub(crate) async fn body(stream: &mut TcpStream, buffer: &mut BytesMut, head: &Head) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     if !head.chunked() {
         let length = head.content_length();
@@ -138,11 +138,11 @@
 }
 
 /// A line as a chunk.
-pub(super) fn chunk(line: &str) -> Vec<u8> {
+pub(crate) fn chunk(line: &str) -> Vec<u8> {
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1).into_bytes()
 }
 
 /// The head of an answer in chunks.
-pub(super) const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub(crate) const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// The end of an answer in chunks.
-pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- a/crates/cairncrank-lab/src/sockets/mod.rs
+++ b/crates/cairncrank-lab/src/sockets/mod.rs
@@ -5,7 +5,7 @@
 
 mod client;
 mod discovery;
-mod http;
+pub(crate) mod http;
 mod program;
 mod worker;
 
--- a/crates/cairncrank/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 
 use crate::engine::{micros, Listed, Micros};
-use crate::own::Own;
+use crate::own::{Fleet, Own};
 use cairncrank_core::api::{Member, Repeat, Scope, Settings, WorkerState};
 use cairncrank_core::settings::{settings, worker_id, Bad, Pairs};
 
@@ -105,6 +105,8 @@
     pub longest: Micros,
     /// The list as last held, and its revision.
     pub known: (u64, Vec<Listed>),
+    /// The fleet that this dispatcher is a member of, if our own settings name one.
+    pub fleet: Option<Fleet>,
 }
 
 impl Config {
@@ -114,7 +116,9 @@
     /// The first key that is missing or faulty.
     pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut config = Config::read(&Config::text(&var)?, &var)?;
-        config.settings.room = Own::find(var)?.room;
+        let own = Own::find(var)?;
+        config.settings.room = own.room;
+        config.fleet = own.fleet;
         Ok(config)
     }
 
@@ -124,7 +128,12 @@
     /// The first key that is missing or faulty, or that a running program cannot change.
     pub fn again(&self, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut config = self.replace(&Config::text(&var)?, &var)?;
-        config.settings.room = Own::find(var)?.room;
+        let own = Own::find(var)?;
+        if own.fleet != self.fleet {
+            return wrong("fleet", "cannot change while the program runs");
+        }
+        config.settings.room = own.room;
+        config.fleet = own.fleet;
         Ok(config)
     }
 
@@ -242,6 +251,7 @@
             longest: names.classes.iter().map(|c| c.patience).max().unwrap_or(micros(PATIENCE)),
             names,
             known,
+            fleet: None,
         })
     }
 }
--- a/crates/cairncrank/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cairncrank_fleet::list::News;
 use rustc_hash::FxHashMap;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::fleet::Lists;
 use super::http::{Decoder, Head, Lines, Piece, Start};
 use super::{read_more, waiting, write_whole, Configs};
 use crate::config::{self, Config, Names};
@@ -66,26 +68,49 @@
     }
 }
 
-/// Watches for ever. `ready` turns true with the first list.
-pub async fn follow(mut configs: Configs, handle: Handle, ready: watch::Sender<bool>) {
+/// Watches for ever. `ready` turns true with the first list. In a fleet it pauses while another member's word is
+/// relied on.
+pub(super) async fn follow(
+    mut configs: Configs,
+    handle: Handle,
+    ready: watch::Sender<bool>,
+    fleet: Option<(Rc<Lists>, mpsc::Receiver<News>)>,
+) {
     let (known, mut members) = configs.borrow().known.clone();
     let told = Told { revision: Cell::default(), newest: Cell::default(), states: RefCell::default() };
     told.note(known, &mut members);
     // Where nothing was held before, all must be asked for.
     told.revision.set(Some(known).filter(|known| *known > 0));
     let told = Rc::new(told);
+    let lists = fleet.map(|(lists, news)| {
+        spawn_local(hear(lists.clone(), news, told.clone(), configs.clone(), handle.clone(), ready.clone()));
+        lists
+    });
+    // Without a fleet the sender is gone, and it stays at asking.
+    let mut asks = lists.as_ref().map_or_else(|| watch::channel(true).1, |lists| lists.asks());
     let mut failing = false;
     let mut backoff = pauses(&configs.borrow());
     loop {
+        let _ = asks.wait_for(|asks| *asks).await;
         let config = configs.borrow_and_update().clone();
         let before = told.revision.get();
-        let watch = Watch { config: config.clone(), handle: handle.clone(), told: told.clone() };
+        let watch = Watch {
+            config: config.clone(),
+            handle: handle.clone(),
+            told: told.clone(),
+            lists: lists.clone(),
+        };
         // A task of its own: a panic ends this watch, not the following.
-        let watch = spawn_local(watch.run(configs.clone(), ready.clone()));
+        let watch = spawn_local(watch.run(configs.clone(), ready.clone(), asks.clone()));
         let End { why, answered, wanted } = watch.await.unwrap_or_else(|panic| End::from(panic.to_string()));
         if moved(&config, &configs.borrow()) {
             // Revisions are those of the place that told them: elsewhere the same number may stand for more.
             told.revision.set(None);
+            failing = false;
+            lists.iter().for_each(|lists| lists.moved(configs.borrow().discovery));
+            continue;
+        }
+        if !*asks.borrow() {
             failing = false;
             continue;
         }
@@ -101,6 +126,42 @@
     }
 }
 
+/// Takes what an owner in the fleet says of the list. What is not newer than what is known here changes nothing, so
+/// that neither a late word nor one that lags behind brings anything back.
+async fn hear(
+    lists: Rc<Lists>,
+    mut news: mpsc::Receiver<News>,
+    told: Rc<Told>,
+    configs: Configs,
+    handle: Handle,
+    ready: watch::Sender<bool>,
+) {
+    while let Some(news) = news.recv().await {
+        if !lists.concerns(&news) {
+            tracing::debug!(source = news.source, "the fleet's list is of another source");
+            continue;
+        }
+        if news.is_whole() && news.revision() > told.newest.get() {
+            let list = config::list(&news.list, &configs.borrow().names);
+            match list {
+                Ok(mut list) => {
+                    told.note(list.revision, &mut list.members);
+                    handle.tell(Input::List(list.scope, list.members));
+                    ready.send_replace(true);
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "the fleet's list cannot be read");
+                    continue;
+                }
+            }
+        }
+        // One that knows less than the owner goes on by itself until it is told the whole.
+        if told.newest.get() >= news.revision() && *ready.borrow() {
+            lists.relies(&news);
+        }
+    }
+}
+
 /// The pauses between watches.
 fn pauses(config: &Config) -> Backoff {
     let (settings, span) = (&config.settings, config.settings.ask_within);
@@ -136,15 +197,32 @@
     config: Rc<Config>,
     handle: Handle,
     told: Rc<Told>,
+    lists: Option<Rc<Lists>>,
 }
 
 impl Watch {
-    /// Follows it to its end, or until the configuration names another place.
-    async fn run(self, mut configs: Configs, ready: watch::Sender<bool>) -> End {
+    /// Follows it to its end, or until the configuration names another place or the fleet is relied on.
+    async fn run(
+        self,
+        mut configs: Configs,
+        ready: watch::Sender<bool>,
+        mut asks: watch::Receiver<bool>,
+    ) -> End {
         let config = self.config.clone();
         let moves = async {
-            if configs.wait_for(|now| moved(&config, now)).await.is_err() {
-                std::future::pending().await
+            let moves = async {
+                if configs.wait_for(|now| moved(&config, now)).await.is_err() {
+                    std::future::pending().await
+                }
+            };
+            let relied_on = async {
+                if asks.wait_for(|asks| !asks).await.is_err() {
+                    std::future::pending().await
+                }
+            };
+            tokio::select! {
+                () = moves => {}
+                () = relied_on => {}
             }
         };
         tokio::pin!(moves);
@@ -246,6 +324,9 @@
             match list {
                 Ok(mut list) => {
                     self.told.note(list.revision, &mut list.members);
+                    if let Some(lists) = &self.lists {
+                        lists.said(serde_json::from_slice(line).ok().as_ref());
+                    }
                     self.handle.tell(Input::List(list.scope, list.members));
                 }
                 Err(error) => {
@@ -254,6 +335,8 @@
                     return Err(error);
                 }
             }
+        } else if let Some(lists) = &self.lists {
+            lists.said(None);
         }
         ready.send_replace(true);
         Ok(())
--- /dev/null
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -0,0 +1,219 @@
+//! Being a member of a fleet, where our own settings name keepers: the list of workers asked for by one member.
+//!
+//! Nothing here is on the way of a job. Without a keeper, an owner or news of it, discovery is followed as if there
+//! were no fleet.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Holder, Micros};
+use cairncrank_fleet::clock;
+use cairncrank_fleet::effects::{receive, Publisher};
+use cairncrank_fleet::list::{Ledger, News, Reliance, LIST};
+use cairncrank_fleet::member::{Ended, Member, Settings};
+use cairncrank_fleet::record::Recorder;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{interval, MissedTickBehavior};
+
+use super::signal::Phase;
+use crate::config::Config;
+use crate::own::Fleet;
+
+/// What changed within this is told together.
+const ROUND: Duration = Duration::from_millis(50);
+/// News that wait for the one who follows discovery, at the most.
+const NEWS: usize = 16;
+
+/// The duty "list" at this member.
+pub(super) struct Lists {
+    settings: Fleet,
+    /// What revisions count at.
+    source: RefCell<String>,
+    member: Member,
+    ledger: RefCell<Ledger>,
+    reliance: RefCell<Reliance>,
+    /// Whether discovery is to be asked from here.
+    asks: watch::Sender<bool>,
+    term: RefCell<Option<Publisher>>,
+    /// Something is to be told: perhaps only that discovery still talks.
+    due: Cell<bool>,
+    /// The revision and the members that were told the whole list last.
+    told: Cell<(u64, usize)>,
+    /// When discovery said something last, or this member began to own the duty.
+    heard: Cell<Micros>,
+}
+
+/// Becomes a member. What an owner says goes to the receiver that is returned.
+pub(super) async fn start(
+    settings: &Fleet,
+    config: &Config,
+    phase: watch::Receiver<Phase>,
+) -> std::io::Result<(Rc<Lists>, mpsc::Receiver<News>)> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let address = settings.address.map_or_else(|| listener.local_addr(), Ok)?;
+    let duty = DutyId::fleet(LIST);
+    let member = Settings {
+        installation: settings.installation.clone(),
+        name: config.name.clone(),
+        zone: String::new(),
+        address: address.to_string(),
+        keepers: settings.keepers.clone(),
+        bind: settings.bind,
+        times: settings.times,
+        offers: settings.list.then_some(duty).into_iter().collect(),
+        // Another number than the module's: the two draw different things.
+        seed: config.seed ^ 0x000f_1ee7,
+    };
+    let member = Member::new(member, Holder::new(settings.times), Recorder::default());
+    let (sender, news) = mpsc::channel(NEWS);
+    spawn_local(receive(member.clone(), listener, move |effect| {
+        if let Ok(news) = serde_json::from_slice::<News>(&effect.body) {
+            // The latest counts; where the queue is full, the next one says more than this.
+            let _ = sender.try_send(news);
+        }
+    }));
+    let source = settings.source.clone().unwrap_or_else(|| config.discovery.to_string());
+    let reliance = Reliance::drawn(settings.silence, settings.fallback_per_s, config.seed);
+    let lists = Rc::new(Lists {
+        settings: settings.clone(),
+        source: RefCell::new(source),
+        member: member.clone(),
+        ledger: RefCell::default(),
+        reliance: RefCell::new(reliance),
+        asks: watch::Sender::new(true),
+        term: RefCell::default(),
+        due: Cell::default(),
+        told: Cell::default(),
+        heard: Cell::default(),
+    });
+    spawn_local(lists.clone().rounds());
+    spawn_local(stay(member.clone()));
+    spawn_local(leave(member, phase));
+    Ok((lists, news))
+}
+
+/// Stays a member for as long as the keepers let it.
+async fn stay(member: Member) {
+    match member.run().await {
+        Ended::Left => tracing::info!("left the fleet"),
+        ended => tracing::error!(?ended, "no member of the fleet any more; goes on by itself"),
+    }
+}
+
+/// Gives the duties back as soon as the program is told to end: somebody else follows discovery meanwhile.
+async fn leave(member: Member, mut phase: watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+    member.leave();
+}
+
+impl Lists {
+    /// Turns true when discovery is to be asked from here, and false when the fleet's list is relied on.
+    pub(super) fn asks(&self) -> watch::Receiver<bool> {
+        self.asks.subscribe()
+    }
+
+    /// Discovery has said something here: a list, or that nothing changed.
+    pub(super) fn said(&self, list: Option<&Value>) {
+        self.heard.set(clock::now());
+        self.due.set(true);
+        if let Some(list) = list {
+            self.ledger.borrow_mut().take(list);
+        }
+    }
+
+    /// Discovery is another place from here on.
+    pub(super) fn moved(&self, discovery: SocketAddr) {
+        self.ledger.borrow_mut().forget();
+        if self.settings.source.is_none() {
+            *self.source.borrow_mut() = discovery.to_string();
+        }
+    }
+
+    /// Whether an owner's news are of the same source, so that revisions can be compared.
+    pub(super) fn concerns(&self, news: &News) -> bool {
+        news.source == *self.source.borrow()
+    }
+
+    /// An owner's news were taken in, and all that it knows is known here.
+    pub(super) fn relies(&self, news: &News) {
+        self.ledger.borrow_mut().take(&news.list);
+        self.reliance.borrow_mut().heard(clock::now(), news.members);
+        self.decide();
+    }
+
+    fn decide(&self) {
+        let owns = self.term.borrow().is_some();
+        let asks = self.reliance.borrow().asks(clock::now(), owns);
+        let changed = self.asks.send_if_modified(|old| std::mem::replace(old, asks) != asks);
+        if changed {
+            tracing::info!(
+                owns,
+                "{}",
+                if asks { "asks discovery by itself" } else { "relies on the fleet's list" }
+            );
+        }
+    }
+
+    async fn rounds(self: Rc<Self>) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut changes = self.member.changes();
+        loop {
+            tokio::select! {
+                _ = rounds.tick() => {}
+                _ = changes.changed() => {}
+            }
+            self.own();
+            self.decide();
+            self.tell();
+        }
+    }
+
+    /// Notices whether this member owns the duty, and gives it back where discovery is silent here.
+    fn own(&self) {
+        let duty = DutyId::fleet(LIST);
+        let owned = self.member.owned().into_iter().find(|(owned, _)| *owned == duty);
+        let mut term = self.term.borrow_mut();
+        match owned {
+            Some((duty, token)) => {
+                if term.as_ref().is_none_or(|term| term.token() != token) {
+                    tracing::info!(token = token.0, "asks discovery for the fleet");
+                    *term = Some(Publisher::new(&self.member, duty.clone(), token));
+                    self.told.set((0, 0));
+                    self.heard.set(clock::now());
+                }
+                if clock::now().saturating_sub(self.heard.get())
+                    > self.settings.silence + self.settings.silence / 2
+                {
+                    tracing::warn!(token = token.0, "discovery is silent here; gives the list back");
+                    self.heard.set(clock::now());
+                    self.member.release(duty, token);
+                }
+            }
+            None => *term = None,
+        }
+    }
+
+    /// Tells the members what is due: the whole list where it or they have changed, else only that it still holds.
+    fn tell(&self) {
+        let mut term = self.term.borrow_mut();
+        let Some(term) = term.as_mut().filter(|_| self.due.get()) else { return };
+        let ledger = self.ledger.borrow();
+        let Some(list) = ledger.list() else { return };
+        self.due.set(false);
+        let state = (ledger.revision(), self.member.roster().len());
+        let whole = self.told.replace(state) != state;
+        let members = state.1 as u64;
+        let revision = serde_json::json!({"revision": state.0});
+        let news =
+            News { source: self.source.borrow().clone(), members, list: if whole { list } else { revision } };
+        if let Ok(body) = serde_json::to_vec(&news) {
+            term.say(body);
+        }
+    }
+}
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod console;
 pub mod discovery;
+mod fleet;
 pub mod http;
 pub mod inherit;
 mod probe;
@@ -84,11 +85,20 @@
     let (commands, orders) = mpsc::unbounded_channel();
     let engine = Engine::new(config.settings.clone(), config.seed, config.known.1.clone(), clock, commands);
     let at = config.console;
+    let fleet = match &config.fleet {
+        Some(settings) => fleet::start(settings, &config, phase.clone()).await.map(Some),
+        None => Ok(None),
+    };
+    // As with the console: the dispatcher serves without it.
+    let fleet = fleet.unwrap_or_else(|error| {
+        tracing::error!(%error, "cannot listen for the fleet; goes on by itself");
+        None
+    });
     let (config, configs) = watch::channel(Rc::new(config));
     let mut pool = spawn_local(worker::run(configs.clone(), clock, handle.clone(), orders, metrics.clone()));
     let mut engine = spawn_local(engine.run(inputs));
     let (ready, is_ready) = watch::channel(false);
-    let mut follow = spawn_local(discovery::follow(configs.clone(), handle.clone(), ready));
+    let mut follow = spawn_local(discovery::follow(configs.clone(), handle.clone(), ready, fleet));
     let mut renew = spawn_local(renew(reload, config, handle.clone(), metrics.clone()));
     if let Some(at) = at {
         // Without its console the dispatcher still serves; the operators see the error in the log.
--- a/crates/cairncrank/src/own.rs
+++ b/crates/cairncrank/src/own.rs
@@ -6,7 +6,12 @@
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+
 use cairncrank_core::api::RoomSettings;
+use cairncrank_duty::{Micros, Times};
+use cairncrank_fleet::settings;
 use cairncrank_hcl::{Read, Section};
 
 use crate::config::ConfigError;
@@ -19,11 +24,44 @@
 const FROM_SLOTS: f64 = 4.0;
 const PRICE: f64 = 16.0;
 
+/// How long an owner of the list may say nothing, in milliseconds, where the file does not say: as long as a watch on
+/// discovery may be silent, and a little for the way.
+const SILENCE_MS: u64 = 3_000;
+/// How many dispatchers of a fleet without an owner go back to asking discovery each second.
+const FALLBACK_PER_S: f64 = 20.0;
+
+/// What the file says of a fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// The installation.
+    pub installation: String,
+    /// Where owners reach this dispatcher.
+    pub listen: SocketAddr,
+    /// Where others are told that it is, if not where it listens.
+    pub address: Option<SocketAddr>,
+    /// The address that its connections to keepers and members come from.
+    pub bind: Option<IpAddr>,
+    /// The keepers, by number.
+    pub keepers: BTreeMap<u64, SocketAddr>,
+    /// The times, the same as the keepers'.
+    pub times: Times,
+    /// Whether the list is asked for by one member.
+    pub list: bool,
+    /// What discovery's revisions count at, if not at its address.
+    pub source: Option<String>,
+    /// How long an owner of the list may say nothing.
+    pub silence: Micros,
+    /// How many dispatchers of the fleet go back to asking each second.
+    pub fallback_per_s: f64,
+}
+
 /// What the file says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Own {
     /// Room for large jobs; none where it is not held.
     pub room: Option<RoomSettings>,
+    /// The fleet that this dispatcher is a member of, if it is of one.
+    pub fleet: Option<Fleet>,
 }
 
 impl Own {
@@ -62,6 +100,7 @@
                 Some(section) => room(section)?,
                 None => None,
             },
+            fleet: root.section("fleet")?.map(fleet).transpose()?,
         };
         root.finish()?;
         Ok(own)
@@ -76,6 +115,27 @@
     Ok(section.flag("hold")?.unwrap_or(true).then_some(settings))
 }
 
+fn fleet(section: &Section) -> Read<Fleet> {
+    let bind = section.text("bind")?.map(|text| {
+        text.parse::<IpAddr>().map_err(|_| section.fault("bind", format!("{text:?} is no IP address")))
+    });
+    Ok(Fleet {
+        installation: settings::wanted(section, "installation")?,
+        listen: settings::address(section, "listen")?,
+        address: match section.value("address") {
+            Some(_) => Some(settings::address(section, "address")?),
+            None => None,
+        },
+        bind: bind.transpose()?,
+        keepers: settings::keepers(section)?,
+        times: settings::times(section)?,
+        list: section.flag("list")?.unwrap_or(true),
+        source: section.text("source")?,
+        silence: section.whole("silence_ms", 1_000..=600_000)?.unwrap_or(SILENCE_MS) * 1_000,
+        fallback_per_s: section.number("fallback_per_s", 0.1..=10_000.0)?.unwrap_or(FALLBACK_PER_S),
+    })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -91,6 +151,22 @@
         assert_eq!(read("rooms {\n}\n"), Err("own.hcl:1: rooms: there is no such block here".to_owned()));
     }
 
+    #[test]
+    fn a_fleet_is_named_whole_or_not_at_all() {
+        let keeper = |n| format!("  keeper \"{n}\" {{\n    address = \"127.0.0.1:710{n}\"\n  }}\n");
+        let keepers: String = (1..=3).map(keeper).collect();
+        let head = "fleet {\n  installation = \"north\"\n  listen = \"127.0.0.1:0\"\n";
+        let fleet = Own::read("own.hcl", &format!("{head}{keepers}}}\n")).unwrap().fleet.unwrap();
+        assert_eq!((fleet.keepers.len(), fleet.list, fleet.silence), (3, true, 3_000_000));
+        let fault = |text: String| Own::read("own.hcl", &text).unwrap_err().to_string();
+        assert!(fault(format!("{head}}}\n")).contains("wanted three or five keepers"));
+        let times = fault(format!("{head}{keepers}  times {{\n    lease_ms = 900\n  }}\n}}\n"));
+        assert!(times.contains("renew_ms") && times.contains("lease_ms"), "{times}");
+        assert!(
+            fault(format!("fleet {{\n  listen = \"127.0.0.1:0\"\n{keepers}}}\n")).contains("installation")
+        );
+    }
+
     #[test]
     fn a_named_file_must_be_there_and_the_one_beside_may_be_missing() {
         let var = |settings: Option<&'static str>| {
