Let fleets live for hours in virtual time, with clocks of different rates

Need: schedules with processes are minutes long and their clocks all run alike.

Measured by the test: 4 hours with rates at the stated bound, no rule broken; receiver-without-check, lease-from-answer and token-not-stored are each found; with rates 30 % apart, far beyond the bound, two owners do act at once, and still no receiver goes back to an older token.

--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! in every order of events.
 
 pub mod checker;
+pub mod hours;
 pub mod light;
 pub mod model;
 pub mod plan;
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use cairncrank_duty::Flaw;
+use cairncrank_lab::fleet::hours::live;
 use cairncrank_lab::fleet::light;
 use cairncrank_lab::fleet::model::{search, Bounds};
 use cairncrank_lab::fleet::plan::Plan;
@@ -51,6 +52,9 @@
         /// With the drive `fleet`: only this arm.
         #[arg(long)]
         arm: Option<String>,
+        /// With the drive `fleet`: how long a schedule lasts, in seconds, instead of what the file says.
+        #[arg(long)]
+        length_s: Option<f64>,
         /// With the drives over sockets and `fleet`: days or schedules side by side.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
         at_once: u16,
@@ -62,6 +66,21 @@
         /// The results after.
         after: PathBuf,
     },
+    /// Lets fleets live in virtual time, with clocks of different rates, and checks who acts when.
+    Hours {
+        /// How many hours.
+        #[arg(default_value_t = 20)]
+        hours: u64,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// By how much clocks really differ, in parts of a million; the fleet is told 1000.
+        #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(0..=900_000))]
+        skew_ppm: u64,
+        /// A flaw to put in.
+        #[arg(long)]
+        seeded_bug: Option<String>,
+    },
     /// A member without jobs, as the drive `fleet` starts it.
     #[command(hide = true)]
     LightMember {
@@ -127,11 +146,12 @@
     out: &Path,
     lanes: u16,
     bug: Option<&str>,
-    arm: Option<&str>,
+    (arm, length): (Option<&str>, Option<f64>),
 ) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
     let mut plan = Plan::read(&file.display().to_string(), &text).map_err(|fault| fault.to_string())?;
     flaw(bug)?;
+    plan.length = length.filter(|length| *length >= 1.0).unwrap_or(plan.length);
     if let Some(arm) = arm {
         plan.arms.retain(|known| known.name == arm);
         if plan.arms.is_empty() {
@@ -254,10 +274,23 @@
             list_flaws();
             Ok(())
         }
-        Command::Run { file, seed, seeds, out, at_once, seeded_bug, arm, .. } if is_fleet(&file) => {
-            run_fleet(&file, (seed, seeds), &out, at_once, seeded_bug.as_deref(), arm.as_deref())
+        Command::Run { file, seed, seeds, out, at_once, seeded_bug, arm, length_s, .. }
+            if is_fleet(&file) =>
+        {
+            run_fleet(&file, (seed, seeds), &out, at_once, seeded_bug.as_deref(), (arm.as_deref(), length_s))
         }
         Command::LightMember { file } => light::run(&file),
+        Command::Hours { hours, seed, skew_ppm, seeded_bug } => {
+            flaw(seeded_bug.as_deref()).and_then(|flaw| {
+                let hours = live(hours, seed, skew_ppm, flaw);
+                println!("{hours:#?}");
+                if hours.broken() {
+                    Err("a rule was broken".to_owned())
+                } else {
+                    Ok(())
+                }
+            })
+        }
         Command::Run { file, seed, seeds, out, drive, program, at_once, .. } => {
             run(&file, (seed, seeds), &out, drive, program, at_once)
         }
--- a/crates/cairncrank-lab/tests/ownership_model.rs
+++ b/crates/cairncrank-lab/tests/ownership_model.rs
@@ -1,6 +1,7 @@
 //! The ownership protocol in every order of events, as it is and with each flaw.
 
 use cairncrank_duty::Flaw;
+use cairncrank_lab::fleet::hours::live;
 use cairncrank_lab::fleet::model::{search, Bounds};
 
 #[test]
@@ -14,3 +15,17 @@
         assert!(search(Some(*flaw), bounds, 2).broken.is_some(), "{name} was not found");
     }
 }
+
+#[test]
+fn hours_of_a_fleet_keep_the_rules_with_clocks_inside_the_bound_and_flaws_are_found() {
+    let sound = live(4, 1, 1_000, None);
+    assert!(!sound.broken(), "{sound:#?}");
+    assert!(sound.terms > 100 && sound.refused > 100, "{sound:#?}");
+    for name in ["receiver-without-check", "lease-from-answer", "token-not-stored"] {
+        let flaw = Flaw::names().iter().find(|(known, _)| *known == name).map(|(_, flaw)| *flaw);
+        assert!(live(4, 1, 1_000, flaw).broken(), "{name} was not found");
+    }
+    // Clocks far beyond the bound: two owners may act, and a receiver still never goes back to an older one.
+    let beyond = live(4, 1, 300_000, None);
+    assert!(beyond.doubly_owned > 0 && beyond.backwards == 0, "{beyond:#?}");
+}
