Draw a process's number from the system, not its seed; measure whether dispatching waits

Cause: Member::run drew the number that tells processes of a name apart from the configured seed, which is the same after a restart. Now clock::unique, from the system's randomness, also for a keeper's disk and proposals. A checker for it (a session belongs to one process), shown to fail on a record written by hand.

--- a/crates/cairncrank-fleet/src/clock.rs
+++ b/crates/cairncrank-fleet/src/clock.rs
@@ -1,5 +1,7 @@
 //! The one clock of leases: it only grows, counts what a machine slept, and knows nothing of the time of day.
 
+use std::hash::{BuildHasher, Hasher, RandomState};
+
 use cairncrank_duty::Micros;
 use rustix::time::{clock_gettime, ClockId};
 
@@ -8,3 +10,9 @@
     let time = clock_gettime(ClockId::Boottime);
     time.tv_sec.unsigned_abs() * 1_000_000 + time.tv_nsec.unsigned_abs() / 1_000
 }
+
+/// A number that no other process draws, from the system's own randomness: a seed that is configured would be the same
+/// again after a restart.
+pub fn unique() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -34,7 +34,7 @@
     pub times: Times,
     /// What it may be given.
     pub offers: Vec<DutyId>,
-    /// Seed of its pauses and of the number of its process.
+    /// Seed of its pauses.
     pub seed: u64,
 }
 
@@ -142,7 +142,8 @@
     /// Stays a member for as long as it is let.
     pub async fn run(&self) -> Ended {
         let mut random = fastrand::Rng::with_seed(self.settings.seed);
-        let boot = random.u64(..);
+        // Not from the seed: the next process of this name may well be given the same, and would pass for this one.
+        let boot = clock::unique();
         let numbers: Vec<u64> = self.settings.keepers.keys().copied().collect();
         let mut at = random.usize(..numbers.len().max(1));
         let mut failures = 0u32;
--- a/crates/cairncrank-keeper/src/main.rs
+++ b/crates/cairncrank-keeper/src/main.rs
@@ -133,7 +133,7 @@
         "bootstrap" => {
             let here = here(config)?;
             let voters: Vec<u64> = config.keepers.keys().copied().collect();
-            let disk = fastrand::u64(..);
+            let disk = cairncrank_fleet::clock::unique();
             disk::bootstrap(
                 &here.store,
                 &config.installation,
--- a/crates/cairncrank-keeper/src/serve.rs
+++ b/crates/cairncrank-keeper/src/serve.rs
@@ -48,7 +48,7 @@
     let (disk, found) = Disk::open(&serve.store, &config.installation, serve.keeper)?;
     let identity = found.identity;
     let tick = (config.times.heartbeat / 2).clamp(5_000, 50_000);
-    let mut node = Node::new(disk, found, config.times, tick, fastrand::u64(..))?;
+    let mut node = Node::new(disk, found, config.times, tick, clock::unique())?;
     node.digest(record.records());
     let listener = TcpListener::bind(serve.listen).await;
     let listener =
--- a/crates/cairncrank-lab/src/fleet/checker.rs
+++ b/crates/cairncrank-lab/src/fleet/checker.rs
@@ -60,7 +60,7 @@
 pub type Violations = BTreeMap<&'static str, Vec<String>>;
 
 /// The rules that are checked.
-pub const RULES: [&str; 8] = [
+pub const RULES: [&str; 9] = [
     "keepers apply the same",
     "tokens only grow",
     "no effect of an ended term is taken",
@@ -69,6 +69,7 @@
     "only granted tokens are used",
     "well again when all is healed",
     "a keeper without its memory does not serve",
+    "a session belongs to one process",
 ];
 
 /// Reads one file of records. A last line that was cut by a kill is left out.
@@ -143,9 +144,19 @@
     }
     for (member, lines) in &records.members {
         let mut highest: BTreeMap<&str, u64> = BTreeMap::new();
+        // Sessions of earlier processes that wrote this record.
+        let (mut earlier, mut own) = (BTreeSet::new(), BTreeSet::new());
         for line in lines {
             if line.kind == "started" {
                 highest.clear();
+                earlier.append(&mut own);
+            }
+            if let Some(session) = line.number("session").filter(|_| line.kind == "session") {
+                own.insert(session);
+                if earlier.contains(&session) {
+                    let text = format!("{member} has session {session} of a process before it");
+                    found.entry(RULES[8]).or_default().push(text);
+                }
             }
             let (Some(duty), Some(token)) = (line.text("duty"), line.number("token")) else { continue };
             let late = ended.get(&(duty, token)).filter(|ended| line.t > **ended).map(|ended| line.t - ended);
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`plan`] reads an experiment and draws schedules of faults by seed; [`rig`] plays one with real processes, every
 //! link between two of them through [`proxy`]; [`checker`] reads the records that the processes left, and nothing
-//! else; [`results`] adds up. [`light`] is a member without jobs, on the real transport. [`model`] checks the protocol
-//! in every order of events.
+//! else; [`results`] adds up. [`light`] is a member without jobs, on the real transport. [`together`] is a
+//! fleet of real dispatchers with one discovery, [`waits`] asks whether their clients notice it. [`model`] checks the protocol
+//! in every order of events, [`hours`] in virtual time.
 
 pub mod checker;
 pub mod hours;
@@ -14,3 +15,5 @@
 pub mod results;
 pub mod rig;
 pub mod standin_discovery;
+pub mod together;
+pub mod waits;
--- a/crates/cairncrank-lab/src/fleet/standin_discovery.rs
+++ b/crates/cairncrank-lab/src/fleet/standin_discovery.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,13 +52,22 @@
         discovery
     }
 
-    /// Changes the phase of a worker.
+    /// Adds a worker that is there, or moves one.
+    pub fn add(&self, worker: usize, address: SocketAddr) {
+        self.put(worker, "in_service", &address.to_string());
+    }
+
+    /// Changes the phase of a worker that is not there.
     pub fn change(&self, worker: usize, phase: &str) {
+        self.put(worker, phase, &format!("127.0.0.1:{}", 9 + worker));
+    }
+
+    fn put(&self, worker: usize, phase: &str, address: &str) {
         let mut shared = self.shared.borrow_mut();
         shared.revision += 1;
         let id = format!("w-{worker:04}");
         let entry = json!({
-            "id": id, "host_port": format!("127.0.0.1:{}", 9 + worker), "locality": "north", "flavor": "small",
+            "id": id, "host_port": address, "locality": "north", "flavor": "small",
             "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0,
         });
         let revision = shared.revision;
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -0,0 +1,244 @@
+//! Keepers and real dispatchers as processes, with one discovery for all of them: what a fleet is set up as.
+
+use std::net::{SocketAddr, TcpListener as Probe};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::standin_discovery::Discovery;
+
+/// The programs.
+#[derive(Debug, Clone)]
+pub struct Binaries {
+    /// `cairncrank`.
+    pub dispatcher: PathBuf,
+    /// `cairncrank-keeper`.
+    pub keeper: PathBuf,
+}
+
+/// A process that ends with this value.
+#[derive(Debug)]
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A fleet. Its processes end with this value.
+#[derive(Debug)]
+pub struct Together {
+    dir: PathBuf,
+    binaries: Binaries,
+    /// The discovery that all ask.
+    pub discovery: Discovery,
+    keepers: Vec<Option<Process>>,
+    dispatchers: Vec<Option<Process>>,
+    consoles: Vec<u16>,
+    /// Where clients reach the dispatchers.
+    pub listen: Vec<SocketAddr>,
+}
+
+fn fault(what: impl std::fmt::Display) -> impl FnOnce(std::io::Error) -> String {
+    move |error| format!("{what}: {error}")
+}
+
+fn free() -> Result<u16, String> {
+    let port =
+        Probe::bind("127.0.0.1:0").and_then(|probe| probe.local_addr()).map_err(fault("a free port"))?;
+    Ok(port.port())
+}
+
+fn write(path: &Path, text: String) -> Result<(), String> {
+    std::fs::write(path, text).map_err(fault(path.display()))
+}
+
+impl Together {
+    /// Sets three keepers and some dispatchers up below a folder and starts them. `config` is a dispatcher's, without
+    /// name and addresses; `together` says whether the dispatchers are members of a fleet.
+    ///
+    /// # Errors
+    /// Something cannot be set up.
+    pub async fn start(
+        dir: &Path,
+        binaries: Binaries,
+        mut config: Value,
+        (dispatchers, together): (usize, bool),
+        discovery: Discovery,
+    ) -> Result<Together, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault("discovery"))?;
+        let at = listener.local_addr().map_err(fault("discovery"))?;
+        spawn_local(discovery.clone().serve(listener));
+        let ports: Result<Vec<u16>, String> = (0..3).map(|_| free()).collect();
+        let block = |(n, port): (usize, &u16)| {
+            format!("keeper \"{}\" {{\n  address = \"127.0.0.1:{port}\"\n}}\n", n + 1)
+        };
+        let keepers: String = ports?.iter().enumerate().map(block).collect();
+        for n in 1..=3 {
+            let serve = format!(
+                "serve {{\n  keeper = {n}\n  store = \"{}\"\n}}\n",
+                dir.join(format!("k{n}")).display()
+            );
+            let file = dir.join(format!("k{n}.hcl"));
+            write(&file, format!("installation = \"test\"\n{keepers}{serve}"))?;
+            let made = Command::new(&binaries.keeper).args(["bootstrap", "--config"]).arg(&file).output();
+            let made = made.map_err(fault(binaries.keeper.display()))?;
+            if !made.status.success() {
+                return Err(String::from_utf8_lossy(&made.stderr).into_owned());
+            }
+        }
+        config["known"] = json!({"revision": 0, "complete": true, "members": []});
+        let (mut consoles, mut listen) = (Vec::new(), Vec::new());
+        for n in 0..dispatchers {
+            consoles.push(free()?);
+            listen.push(SocketAddr::from(([127, 0, 0, 1], free()?)));
+            config["name"] = format!("d{n}").into();
+            config["listen"] = listen[n].to_string().into();
+            config["console"] = format!("127.0.0.1:{}", consoles[n]).into();
+            config["discovery"] = at.to_string().into();
+            config["seed"] = format!("{:016x}", n + 1).into();
+            write(&dir.join(format!("d{n}.json")), config.to_string())?;
+            let fleet = format!(
+                "fleet {{\ninstallation = \"test\"\nlisten = \"127.0.0.1:{}\"\n{keepers}}}\n",
+                free()?
+            );
+            write(&dir.join(format!("d{n}.hcl")), if together { fleet } else { String::new() })?;
+        }
+        let mut fleet = Together {
+            dir: dir.to_owned(),
+            binaries,
+            discovery,
+            keepers: (0..3).map(|_| None).collect(),
+            dispatchers: (0..dispatchers).map(|_| None).collect(),
+            consoles,
+            listen,
+        };
+        if together {
+            (1..=3).try_for_each(|n| fleet.start_keeper(n))?;
+        }
+        (0..dispatchers).try_for_each(|n| fleet.start_dispatcher(n))?;
+        Ok(fleet)
+    }
+
+    fn spawn(&self, program: &Path, name: &str, arguments: &[PathBuf]) -> Result<Process, String> {
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.map_err(fault("a log"))?)
+            .spawn();
+        child.map(Process).map_err(fault(program.display()))
+    }
+
+    /// Starts keeper `n`, from one.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start_keeper(&mut self, n: usize) -> Result<(), String> {
+        let arguments = ["serve".into(), "--config".into(), self.dir.join(format!("k{n}.hcl"))];
+        self.keepers[n - 1] = Some(self.spawn(&self.binaries.keeper, &format!("k{n}"), &arguments)?);
+        Ok(())
+    }
+
+    /// Starts dispatcher `n`, from nought.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start_dispatcher(&mut self, n: usize) -> Result<(), String> {
+        let file = |ending: &str| self.dir.join(format!("d{n}.{ending}"));
+        let arguments = ["--config".into(), file("json"), "--settings".into(), file("hcl")];
+        self.dispatchers[n] = Some(self.spawn(&self.binaries.dispatcher, &format!("d{n}"), &arguments)?);
+        Ok(())
+    }
+
+    /// Kills keeper `n`, from one.
+    pub fn kill_keeper(&mut self, n: usize) {
+        self.keepers[n - 1] = None;
+    }
+
+    /// Kills dispatcher `n`, from nought.
+    pub fn kill_dispatcher(&mut self, n: usize) {
+        self.dispatchers[n] = None;
+    }
+
+    /// The keeper that said last that it leads, from one.
+    pub fn leader(&self) -> usize {
+        let term = |n: &usize| {
+            let log = std::fs::read_to_string(self.dir.join(format!("k{n}.log"))).unwrap_or_default();
+            let line = log.lines().rfind(|line| line.contains("leads term=Some"))?.to_owned();
+            line.rsplit_once("Some(")?.1.split(')').next()?.parse::<u64>().ok()
+        };
+        (1..=3).max_by_key(|n| term(n)).unwrap_or(1)
+    }
+
+    /// The dispatcher that said last that it asks for the fleet, from nought.
+    pub fn owner(&self) -> Option<usize> {
+        let token = |n: usize| {
+            let log = std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
+            let line = log.lines().rfind(|line| line.contains("asks discovery for the fleet"))?.to_owned();
+            line.rsplit_once("token=")?.1.split_whitespace().next()?.parse::<u64>().ok()
+        };
+        (0..self.dispatchers.len()).filter_map(|n| Some((token(n)?, n))).max().map(|(_, n)| n)
+    }
+
+    /// The dispatchers' logs, for whoever has to find out what went wrong.
+    pub fn logs(&self) -> String {
+        let one = |n: usize| std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
+        (0..self.dispatchers.len()).map(|n| format!("-- d{n}\n{}", one(n))).collect()
+    }
+
+    /// How many workers a dispatcher knows, by its console.
+    pub async fn known(&self, n: usize) -> Option<usize> {
+        let mut stream = TcpStream::connect(("127.0.0.1", self.consoles[n])).await.ok()?;
+        stream
+            .write_all(b"GET /status/metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .await
+            .ok()?;
+        let mut text = String::new();
+        timeout(Duration::from_secs(1), stream.read_to_string(&mut text)).await.ok()?.ok()?;
+        let line = text.lines().find(|line| line.starts_with("balancer_shop_workers_known "))?;
+        line.rsplit_once(' ')?.1.parse().ok()
+    }
+
+    /// How long it takes until all dispatchers that run know so many workers.
+    ///
+    /// # Errors
+    /// It takes longer than 20 s.
+    pub async fn all_know(&self, workers: usize) -> Result<Duration, String> {
+        let start = Instant::now();
+        for n in (0..self.dispatchers.len()).filter(|n| self.dispatchers[*n].is_some()) {
+            while self.known(n).await != Some(workers) {
+                if start.elapsed() > Duration::from_secs(20) {
+                    return Err(format!("d{n} does not know {workers}\n{}", self.logs()));
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+        Ok(start.elapsed())
+    }
+
+    /// How long it takes until so many watches are open at discovery.
+    ///
+    /// # Errors
+    /// It takes longer than 20 s.
+    pub async fn watches(&self, wanted: u64) -> Result<Duration, String> {
+        let start = Instant::now();
+        while self.discovery.asked().1 != wanted {
+            if start.elapsed() > Duration::from_secs(20) {
+                return Err(format!("{} watches, not {wanted}\n{}", self.discovery.asked().1, self.logs()));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        Ok(start.elapsed())
+    }
+}
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -11,6 +11,7 @@
 use cairncrank_lab::fleet::plan::Plan;
 use cairncrank_lab::fleet::results::run as fleet_run;
 use cairncrank_lab::fleet::rig::Programs;
+use cairncrank_lab::fleet::together::Binaries;
 use cairncrank_lab::report::{compare, Results};
 use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
@@ -66,6 +67,15 @@
         /// The results after.
         after: PathBuf,
     },
+    /// Hands jobs to dispatchers with the fleet off and on, while keepers fail, and measures what their clients see.
+    Waits {
+        /// How long, in seconds.
+        #[arg(long, default_value_t = 30)]
+        length_s: u64,
+        /// The folder for what the processes leave.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Lets fleets live in virtual time, with clocks of different rates, and checks who acts when.
     Hours {
         /// How many hours.
@@ -175,6 +185,15 @@
     }
 }
 
+fn waits(length: u64, out: &Path) -> Result<(), String> {
+    let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
+    let arms = cairncrank_lab::fleet::waits::play(out, &binaries, std::time::Duration::from_secs(length))?;
+    let text = serde_json::to_string_pretty(&arms).map_err(|error| error.to_string())?;
+    std::fs::write(out.join("waits.json"), &text).map_err(|error| format!("{}: {error}", out.display()))?;
+    println!("{text}");
+    Ok(())
+}
+
 fn model(bounds: Bounds, bug: Option<&str>, threads: usize) -> Result<(), String> {
     let start = Instant::now();
     let found = search(flaw(bug)?, bounds, threads);
@@ -279,6 +298,7 @@
         {
             run_fleet(&file, (seed, seeds), &out, at_once, seeded_bug.as_deref(), (arm.as_deref(), length_s))
         }
+        Command::Waits { length_s, out } => waits(length_s, &out),
         Command::LightMember { file } => light::run(&file),
         Command::Hours { hours, seed, skew_ppm, seeded_bug } => {
             flaw(seeded_bug.as_deref()).and_then(|flaw| {
--- a/crates/cairncrank-lab/tests/fleet.rs
+++ b/crates/cairncrank-lab/tests/fleet.rs
@@ -88,6 +88,14 @@
     let restarted = unsorted.replace('\n', "\n{\"t\":420,\"kind\":\"started\"}\n");
     assert_eq!(rules_broken("", &restarted), Vec::<&str>::new(), "a new process learns anew");
     assert_eq!(rules_broken("", r#"{"t":200,"kind":"taken","duty":"d","token":6}"#), [RULES[5]]);
+    let session = r#"{"t":200,"kind":"session","session":2,"incarnation":1}"#;
+    assert_eq!(rules_broken("", &format!("{session}\n{session}")), Vec::<&str>::new());
+    let next = format!("{session}\n{{\"t\":300,\"kind\":\"started\"}}\n{session}");
+    assert_eq!(
+        rules_broken("", &next),
+        [RULES[8]],
+        "found by the rig: seed 201, a process drew its predecessor's number"
+    );
     // A keeper that was late to record does not make a sound effect late: the earliest record of a grant counts,
     // and one that was early does.
     let early = r#"{"t":300,"kind":"applied","index":9,"digest":2,"granted":"d","token":8,"session":3}"#;
--- /dev/null
+++ b/experiments/one-owner-slow.hcl
@@ -0,0 +1,25 @@
+# The same as one-owner on a network of 200 ms each way, with times that fit to it.
+#   cairncrank-lab run experiments/one-owner-slow.hcl --seed 1 --seeds 6 --at-once 6 --out results
+experiment "one-owner-slow" {
+  about     = "Every link late by 200 ms each way, one connection in twenty reset, owners killed meanwhile."
+  drive     = "fleet"
+  length_s  = 30
+  calm_s    = 12
+  between_s = 6
+
+  times {
+    lease_ms     = 5000
+    renew_ms     = 1200
+    call_ms      = 2000
+    stay_ms      = 2000
+    short_ms     = 4000
+    election_ms  = 2000
+    heartbeat_ms = 400
+  }
+
+  arm "slow" {
+    keepers = 3
+    members = 8
+    faults  = "slow-net slow-net kill-owner stop-leader"
+  }
+}
