End a member that is told to leave also where its keepers refuse at once

Seen: 89 light members of an ended rig lived on after SIGTERM. Checked: none had a keeper; each connection was refused at once. Cause: Member::run began the wait for giving up anew with every attempt (left_long_enough inside the loop). Now one wait over all attempts, with a test that does not end without it.

--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -147,6 +147,9 @@
         let numbers: Vec<u64> = self.settings.keepers.keys().copied().collect();
         let mut at = random.usize(..numbers.len().max(1));
         let mut failures = 0u32;
+        // One wait over all attempts: keepers that refuse at once would begin it anew each time.
+        let given_up = self.left_long_enough();
+        tokio::pin!(given_up);
         loop {
             let Some(&keeper) = numbers.get(at % numbers.len().max(1)) else {
                 return Ended::Refused("no keeper is named".to_owned());
@@ -154,7 +157,7 @@
             let started = Instant::now();
             let next = tokio::select! {
                 next = self.with_keeper(keeper, boot) => next,
-                () = self.left_long_enough() => Ok(Next::End(Ended::Left)),
+                () = &mut given_up => Ok(Next::End(Ended::Left)),
             };
             self.changed.send_modify(|count| *count += 1);
             if started.elapsed() > Duration::from_micros(self.settings.times.lease) {
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -108,3 +108,33 @@
         assert_eq!(fleet.discovery.asked().1, DISPATCHERS as u64);
     });
 }
+
+/// Found when a rig was ended in the middle: members whose keepers refused at once never ended at SIGTERM.
+#[test]
+fn a_member_without_keepers_ends_when_it_is_told_to() {
+    use cairncrank_duty::{Holder, Times};
+    use cairncrank_fleet::member::{Ended, Member, Settings};
+    use cairncrank_fleet::record::Recorder;
+    play(async {
+        let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let settings = Settings {
+            installation: "test".into(),
+            name: "m".into(),
+            zone: String::new(),
+            address: nobody.to_string(),
+            keepers: [(1, nobody), (2, nobody), (3, nobody)].into(),
+            bind: None,
+            times: Times::default(),
+            offers: Vec::new(),
+            seed: 1,
+        };
+        let member = Member::new(settings, Holder::new(Times::default()), Recorder::default());
+        let leaver = member.clone();
+        tokio::task::spawn_local(async move {
+            sleep(Duration::from_millis(100)).await;
+            leaver.leave();
+        });
+        let ended = tokio::time::timeout(Duration::from_secs(10), member.run()).await;
+        assert_eq!(ended, Ok(Ended::Left));
+    });
+}
