Ask discovery anew where a reload moves it while the fleet's list is relied on

Seen on reading: Watch and follow notice a reload that moves discovery only while they watch; a dispatcher that relies on the owner waited for its own turn to ask and went on taking the list of the old source. Now such a reload forgets what was heard, asks the new place for the whole list, and an owner's word counts again only from the same source.

--- a/crates/cairncrank-fleet/src/list.rs
+++ b/crates/cairncrank-fleet/src/list.rs
@@ -114,6 +114,11 @@
         self.members = members;
     }
 
+    /// What was heard says nothing any more: discovery is another place, or read by other names.
+    pub fn forget(&mut self) {
+        self.heard = None;
+    }
+
     /// When this member asks by itself again, if nothing is heard until then; it asks now where that is past.
     pub fn asks_at(&self) -> Micros {
         let spread = self.members as f64 / self.per_second * self.place;
--- a/crates/cairncrank-keeper/src/serve.rs
+++ b/crates/cairncrank-keeper/src/serve.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,8 @@
 const QUEUE: usize = 4_096;
 const TO_KEEPER: usize = 1_024;
 const TO_MEMBER: usize = 64;
+/// Connections beyond the bound that are told why they are turned away, at once.
+const TOLD_FULL: usize = 32;
 
 enum Event {
     Greeted(Identity, oneshot::Sender<Welcome>),
@@ -61,7 +64,7 @@
     let (said, term) = watch::channel(node.identity());
     let name = format!("keeper {}", serve.keeper);
     let (installation, room) =
-        (Rc::new(config.installation.clone()), Rc::new(Semaphore::new(serve.connections)));
+        (Rc::new(config.installation.clone()), Arc::new(Semaphore::new(serve.connections)));
     spawn_local(listen(listener, installation.clone(), Rc::new(name), room, events.clone()));
     let mut keepers = BTreeMap::new();
     for (number, address) in config.keepers.iter().filter(|(number, _)| **number != serve.keeper) {
@@ -243,21 +246,24 @@
     listener: TcpListener,
     installation: Rc<String>,
     name: Rc<String>,
-    room: Rc<Semaphore>,
+    room: Arc<Semaphore>,
     events: mpsc::Sender<Event>,
 ) {
     let mut next: Conn = 0;
+    let told = Arc::new(Semaphore::new(TOLD_FULL));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
         next += 1;
-        let (conn, installation, name, room, events) =
-            (next, installation.clone(), name.clone(), room.clone(), events.clone());
+        let (conn, installation, name, events) = (next, installation.clone(), name.clone(), events.clone());
+        // Beyond the bound a few are told so, and the rest are closed without a word.
+        let taken = room.clone().try_acquire_owned();
+        let full = taken.is_err();
+        let Ok(taken) = taken.or_else(|_| told.clone().try_acquire_owned()) else { continue };
         spawn_local(async move {
-            let taken = room.try_acquire();
-            let full = taken.is_err();
+            let _taken = taken;
             if let Err(error) = incoming(stream, conn, &installation, &name, full, &events).await {
                 tracing::debug!(%from, %error, "a connection ended");
             }
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -171,6 +172,21 @@
         self.dispatchers[n] = None;
     }
 
+    /// Names another discovery in the configuration of dispatcher `n` and tells it to read that again.
+    ///
+    /// # Errors
+    /// The file cannot be changed.
+    pub fn move_discovery(&self, n: usize, to: SocketAddr) -> Result<(), String> {
+        let file = self.dir.join(format!("d{n}.json"));
+        let text = std::fs::read(&file).map_err(fault(file.display()))?;
+        let mut config: Value = serde_json::from_slice(&text).map_err(|error| error.to_string())?;
+        config["discovery"] = to.to_string().into();
+        write(&file, config.to_string())?;
+        let id = self.dispatchers[n].as_ref().and_then(|process| i32::try_from(process.0.id()).ok());
+        let pid = id.and_then(Pid::from_raw).ok_or("it does not run")?;
+        kill_process(pid, Signal::HUP).map_err(|error| error.to_string())
+    }
+
     /// The keeper that said last that it leads, from one.
     pub fn leader(&self) -> usize {
         let term = |n: &usize| {
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -100,6 +100,30 @@
     });
 }
 
+#[test]
+fn one_that_relies_on_the_owner_and_is_led_to_another_discovery_asks_there() {
+    play(async {
+        let (_dir, fleet) = start(true).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (other, at) = (Discovery::new(5), listener.local_addr().unwrap());
+        tokio::task::spawn_local(other.clone().serve(listener));
+        let owner = fleet.owner().expect("an owner");
+        let moved = (owner + 1) % DISPATCHERS;
+        fleet.move_discovery(moved, at).unwrap();
+        let start = Instant::now();
+        while fleet.known(moved).await != Some(5) {
+            assert!(start.elapsed() < Duration::from_secs(10), "{}", fleet.logs());
+            sleep(Duration::from_millis(20)).await;
+        }
+        // The list of the other source says nothing to it.
+        fleet.discovery.change(0, "terminated");
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(fleet.known(moved).await, Some(5));
+        assert_eq!(fleet.known(owner).await, Some(WORKERS - 1));
+        assert_eq!(other.asked().1, 1);
+    });
+}
+
 #[test]
 fn without_a_fleet_each_asks_for_itself() {
     play(async {
--- a/crates/cairncrank/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -91,7 +91,18 @@
     let mut failing = false;
     let mut backoff = pauses(&configs.borrow());
     loop {
-        let _ = asks.wait_for(|asks| *asks).await;
+        if !*asks.borrow() {
+            let before = configs.borrow().clone();
+            tokio::select! {
+                _ = asks.wait_for(|asks| *asks) => {}
+                _ = configs.wait_for(|now| moved(&before, now)) => {}
+            }
+            if moved(&before, &configs.borrow()) {
+                told.revision.set(None);
+                lists.iter().for_each(|lists| lists.moved(configs.borrow().discovery));
+            }
+            continue;
+        }
         let config = configs.borrow_and_update().clone();
         let before = told.revision.get();
         let watch = Watch {
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -126,9 +126,11 @@
         }
     }
 
-    /// Discovery is another place from here on.
+    /// Discovery is another place from here on, or read by other names: it is asked from here first.
     pub(super) fn moved(&self, discovery: SocketAddr) {
         self.ledger.borrow_mut().forget();
+        self.reliance.borrow_mut().forget();
+        self.decide();
         if self.settings.source.is_none() {
             *self.source.borrow_mut() = discovery.to_string();
         }
