Even out sets among members, one at a time, when some come later than others

Change: where nothing else is due, the leading keeper proposes the release of one set whose owner has at least two duties more than the member that would get it (`Warden::evened_out`); the next one only after the time that a member has to stay. A release goes through fence and confirmations as an operator's does, so nothing about tokens is new. Duties of the whole fleet or of a zone do not move.

Measured: six sets, members one after another: 3 and 2 moves, none more in 30 rounds, never two in a round (test).

--- a/crates/cairncrank-duty/src/warden.rs
+++ b/crates/cairncrank-duty/src/warden.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{Command, DutyId, Micros, Reason, Revision, SessionId, State, Times};
+use crate::{Command, DutyId, Micros, Reason, Revision, Scope, SessionId, State, Times, Token};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Heard {
@@ -28,13 +28,20 @@
     heard: BTreeMap<SessionId, Heard>,
     settling: BTreeSet<SessionId>,
     granting: BTreeSet<(DutyId, Revision)>,
+    /// The term that is being moved to a member with less to do, and when that was proposed.
+    moving: Option<(DutyId, Token, Micros)>,
 }
 
 impl Warden {
     /// A keeper that just became leader and has applied all that was agreed before.
     pub fn new(times: Times, now: Micros, state: &State) -> Warden {
-        let mut warden =
-            Warden { times, heard: BTreeMap::new(), settling: BTreeSet::new(), granting: BTreeSet::new() };
+        let mut warden = Warden {
+            times,
+            heard: BTreeMap::new(),
+            settling: BTreeSet::new(),
+            granting: BTreeSet::new(),
+            moving: None,
+        };
         warden.applied(now, state);
         warden
     }
@@ -114,9 +121,37 @@
                 due.push(Command::Grant { duty: id.clone(), session, fenced: duty.fenced });
             }
         }
+        if due.is_empty() {
+            due.extend(self.evened_out(&load, now, state));
+        }
         due
     }
 
+    /// The release of one set whose owner has at least two duties more than the member that would get it. One set moves
+    /// at a time, and the next only after the time that a member has to stay: a fleet that comes and goes does not
+    /// make its sets wander.
+    fn evened_out(
+        &mut self,
+        load: &BTreeMap<SessionId, usize>,
+        now: Micros,
+        state: &State,
+    ) -> Option<Command> {
+        if self.moving.as_ref().is_some_and(|(.., at)| now.saturating_sub(*at) < self.times.stay) {
+            return None;
+        }
+        let sets = state.duties().iter().filter(|(id, _)| matches!(id.scope, Scope::Set(_)));
+        let owned = sets.filter_map(|(id, duty)| Some((id, duty.owner?)));
+        let heaviest = owned.max_by_key(|(id, owner)| (load.get(&owner.session).copied(), *id));
+        let (id, owner) = heaviest?;
+        let to = self.candidate(id, load, now, state)?;
+        let of = |session: &SessionId| load.get(session).copied().unwrap_or(0);
+        if of(&to) + 2 > of(&owner.session) {
+            return None;
+        }
+        self.moving = Some((id.clone(), owner.token, now));
+        Some(Command::Release { duty: id.clone(), token: owner.token, unsettle: false })
+    }
+
     /// A proposal did not get into the log, or was refused when it was applied: what it was about is open again.
     pub fn dropped(&mut self, command: &Command) {
         match command {
--- a/crates/cairncrank-duty/tests/agreement.rs
+++ b/crates/cairncrank-duty/tests/agreement.rs
@@ -228,6 +228,44 @@
     assert_eq!(fleet.state.duties()[&far[0]].owner, None);
 }
 
+/// The first member that stays gets every set; those that come later take over their part, one set at a time.
+#[test]
+fn sets_are_evened_out_one_at_a_time_and_then_stay() {
+    let mut fleet = Fleet::new();
+    let sets: Vec<DutyId> = (0..6).map(|set| DutyId::set("watch", set)).collect();
+    let mut alive = Vec::new();
+    let mut moves = 0;
+    let (mut now, step) = (0, Times::default().renew);
+    for (boot, name) in ["a", "b", "c"].into_iter().enumerate() {
+        let join = Command::Join {
+            name: name.to_owned(),
+            boot: boot as u64 + 1,
+            zone: String::new(),
+            address: "127.0.0.1:1".to_owned(),
+            offers: sets.clone(),
+            short: false,
+        };
+        let Outcome::Joined(id, _) = fleet.apply(now, &join) else { panic!("no session") };
+        alive.push(id);
+        for _ in 0..30 {
+            now += step;
+            let released = |outcome: &&Outcome| matches!(outcome, Outcome::Released(..));
+            let outcomes = fleet.settle(now, &alive);
+            let in_one_round = outcomes.iter().filter(released).count();
+            assert!(in_one_round <= 1, "{in_one_round} sets moved at once");
+            moves += in_one_round;
+        }
+        let of = |id: &SessionId| {
+            let owners = fleet.state.duties().values().filter_map(|duty| duty.owner);
+            owners.filter(|owner| owner.session == *id).count()
+        };
+        let (least, most) =
+            (alive.iter().map(of).min().unwrap_or(0), alive.iter().map(of).max().unwrap_or(0));
+        assert!(most - least <= 1 && least > 0, "{name}: from {least} to {most}");
+    }
+    assert_eq!(moves, 3 + 2, "three go to the second member, two to the third, and none wanders");
+}
+
 #[test]
 fn entries_and_snapshots_are_read_back_or_stop_the_keeper() {
     let mut fleet = Fleet::new();
