Let the module take evidence of watchers and cold grants beside its planned share

Need: verdicts of one who watches workers for all, and grants of one who hands cold budgets out, have to reach the decisions through the one queue; `Event::Probed` with a failure changes nothing, and the planned share was kept in two loose fields of a worker.

Change: `Event::Sighted` holds a worker back until that lapses, unless it gave us a sign of life since it was seen failing (`health.rs`); `Event::Granted` adds work until a time, spent once, before the planned share (`cold.rs`, which also takes over the account of the slice). Without these events nothing is decided otherwise.

--- a/crates/cairncrank-core/src/api.rs
+++ b/crates/cairncrank-core/src/api.rs
@@ -362,6 +362,24 @@
         /// What it said.
         load: Option<Load>,
     },
+    /// Somebody who watches workers for all dispatchers saw this one fail, or takes that back.
+    Sighted {
+        /// The worker.
+        worker: WorkerId,
+        /// How long ago it was seen failing; what it did for us since then counts for more.
+        ago: Seconds,
+        /// How long this may be held against it from now on; 0 where nothing is any more.
+        holds: Seconds,
+    },
+    /// One who hands the cold budgets out for all dispatchers granted more than the planned share.
+    Granted {
+        /// The cold worker.
+        worker: WorkerId,
+        /// How much may be sent there, in slots by seconds on a standard core.
+        work: f64,
+        /// Until when.
+        until: Seconds,
+    },
     /// The worker list, or a part of it.
     List {
         /// Which part.
--- a/crates/cairncrank-core/src/health.rs
+++ b/crates/cairncrank-core/src/health.rs
@@ -17,6 +17,8 @@
     pub sign: Seconds,
     /// It is ejected for giving none.
     quiet: bool,
+    /// Until when the word of one who watches workers for all is held against it.
+    told: Seconds,
 }
 
 impl Health {
@@ -41,7 +43,14 @@
     /// It gave a sign of life; true where that lets it in again.
     pub(crate) fn lives(&mut self, now: Seconds) -> bool {
         self.sign = now;
-        std::mem::take(&mut self.quiet) && self.worked()
+        let told = std::mem::take(&mut self.told) > 0.0;
+        (std::mem::take(&mut self.quiet) && self.worked()) || told
+    }
+
+    /// Somebody saw it fail at that time, which may be held against it until then; or takes that back. A sign of life
+    /// that it gave us since then counts for more: whoever watches may be the one who is cut off.
+    pub(crate) fn sighted(&mut self, seen: Seconds, until: Seconds) {
+        self.told = if until > seen && self.sign <= seen { until } else { 0.0 };
     }
 
     /// It gives no sign of life: the next failure ejects it. True where that was not known.
@@ -50,14 +59,14 @@
         !std::mem::replace(&mut self.quiet, true)
     }
 
-    /// It was ejected and has not worked since.
+    /// It was ejected and has not worked since, or is told to fail.
     pub(crate) fn is_shut(&self) -> bool {
-        self.span > 0.0
+        self.span > 0.0 || self.told > 0.0
     }
 
     /// It gets nothing now: after an ejection one job tries it, and the others wait for its end.
     pub(crate) fn is_ejected(&self, now: Seconds, busy: bool) -> bool {
-        self.until > now || (self.is_shut() && busy)
+        self.until > now || self.told > now || (self.is_shut() && busy)
     }
 }
 
@@ -125,6 +134,23 @@
         assert!(worker.lives(12.1) && !worker.is_shut() && !worker.lives(12.2));
     }
 
+    /// The word of a watcher counts until it lapses, is taken back, or the worker is seen alive here since.
+    #[test]
+    fn what_a_watcher_says_counts_for_less_than_what_was_seen_here_since() {
+        let mut worker = Health::default();
+        worker.sighted(9.5, 13.5);
+        assert!(worker.is_ejected(10.0, false) && worker.is_shut() && !worker.is_ejected(13.6, false));
+        worker.sighted(10.0, 10.0);
+        assert!(!worker.is_ejected(10.1, false) && !worker.is_shut());
+        worker.sighted(10.0, 14.0);
+        assert!(worker.lives(10.5) && !worker.is_ejected(10.6, false), "it is alive for us");
+        worker.sighted(10.2, 14.2);
+        assert!(!worker.is_ejected(10.6, false), "that was seen before its sign of life");
+        worker.sighted(10.7, 14.7);
+        assert!(worker.is_ejected(10.8, false));
+        assert!(worker.worked() && !worker.is_ejected(10.8, false));
+    }
+
     #[test]
     fn three_workers_in_a_row_make_a_zone_suspect_and_one_sign_clears_it() {
         let mut zone = Outage::default();
--- a/crates/cairncrank-core/src/lib.rs
+++ b/crates/cairncrank-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod api;
 pub mod backoff;
+mod cold;
 mod estimate;
 mod health;
 mod load;
--- a/crates/cairncrank-core/src/policy/attempts.rs
+++ b/crates/cairncrank-core/src/policy/attempts.rs
@@ -88,18 +88,13 @@
         job.attempts.push(Attempt { worker: i, sent: self.now, started: None, free, filled, ended: None });
         self.fleet.hold(i, k, self.present());
         let (slice, w) = (self.slice(), &mut self.fleet.workers[i]);
-        w.out += 1;
-        if w.slice != slice {
-            (w.slice, w.spent) = (slice, 0.0);
-        }
-        w.spent += work;
-        w.kept = 0.0;
+        (w.out, w.kept) = (w.out + 1, 0.0);
+        w.cold.spend(work, slice, self.now);
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
         if self.cfg.tells_start {
             self.wake(2.0 * PROMPT, Wake::Quiet(id));
         }
-        let w = &self.fleet.workers[i];
-        actions.push(Action::Send { request: id, worker: w.id, timeout: None });
+        actions.push(Action::Send { request: id, worker: self.fleet.workers[i].id, timeout: None });
     }
 
     pub(super) fn end_unserved(&mut self, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/cairncrank-core/src/policy/cold.rs
+++ b/crates/cairncrank-core/src/policy/cold.rs
@@ -17,10 +17,10 @@
 
     /// What all may send there in this slice, as work, and our part of it. It is handed out in grants, each
     /// for about a job and with an owner of its own: of many dispatchers none has the traffic to use up more.
-    fn granted(&self, w: &Worker) -> (f64, f64) {
+    fn planned(&self, w: &Worker) -> (f64, f64) {
         let capacity = self.fleet.warmth(w, self.now) * self.fleet.slots_of(w);
         let budget = self.cfg.fall_multiple * capacity * self.cfg.fall_span * COLD_PLANNED;
-        let grants = (budget / (self.slots * self.window())).clamp(1.0, 64.0) as u64;
+        let grants = (budget / self.usual_job()).clamp(1.0, 64.0) as u64;
         let owner = |n: &u64| mix(w.id.0 ^ mix(self.slice() * 64 + n)) % u64::from(self.cfg.instances);
         let ours = (0..grants).filter(|n| owner(n) == u64::from(self.cfg.instance)).count();
         (budget, budget * ours as f64 / grants as f64)
@@ -28,24 +28,24 @@
 
     /// A job that asks for more than our part goes there by chance, drawn once a slice: the mean keeps it.
     pub(super) fn cold_room(&self, w: &Worker, job: &Job) -> bool {
-        if !self.cold(w) {
+        if !self.cold(w) || w.cold.granted(self.now) >= job.work() {
             return true;
         }
-        let ((budget, ours), work) = (self.granted(w), job.work());
-        if w.slice == self.slice() && w.spent > 0.0 {
-            return w.spent + work <= ours;
+        let ((budget, ours), work) = (self.planned(w), job.work());
+        if let Some(spent) = w.cold.planned(self.slice()) {
+            return spent + work <= ours;
         }
-        let chance =
-            mix(w.id.0 ^ mix(!self.slice() ^ mix(u64::from(self.cfg.instance)))) as f64 / u64::MAX as f64;
-        work <= budget && chance * work < ours
+        let drawn = mix(w.id.0 ^ mix(!self.slice() ^ mix(self.cfg.instance.into())));
+        work <= budget && drawn as f64 / u64::MAX as f64 * work < ours
     }
 
     /// Looks at some of the cold workers with grants of ours: a sample of all would hardly meet them.
     pub(super) fn consider_cold(&mut self, job: &Job, best: &mut Best) {
         let slice = self.slice();
         if self.turns.0 != slice {
+            let ours = |w: &Worker| w.cold.granted(self.now) > 0.0 || self.planned(w).1 > 0.0;
             let fleet = self.fleet.workers.iter().enumerate();
-            let ours = fleet.filter(|(_, w)| self.cold(w) && self.granted(w).1 > 0.0).map(|(i, _)| i);
+            let ours = fleet.filter(|(_, w)| self.cold(w) && ours(w)).map(|(i, _)| i);
             self.turns = (slice, ours.collect());
         }
         for _ in 0..SAMPLE.min(self.turns.1.len()) {
--- a/crates/cairncrank-core/src/policy/mod.rs
+++ b/crates/cairncrank-core/src/policy/mod.rs
@@ -104,8 +104,7 @@
 
     /// Begins work: subscribes to the list and arms the timer.
     pub fn start(&mut self, now: Seconds, actions: &mut Vec<Action>) {
-        self.now = now;
-        self.accrued = now;
+        (self.now, self.accrued) = (now, now);
         if self.cfg.ask_for_list {
             self.ask(actions);
         }
@@ -133,10 +132,14 @@
             Event::ClientGone(id) => self.on_gone(id, actions),
             Event::Timer(token) => self.wakes.fired(token),
             Event::Probed { worker, ok, load } => self.on_probed(worker, load.filter(|_| ok), actions),
+            Event::Sighted { worker, ago, holds } => self.fleet.sighted(worker, self.now, ago, holds),
+            Event::Granted { worker, work, until } => {
+                self.fleet.granted(worker, work, until, self.now);
+                self.turns.0 = u64::MAX;
+            }
             Event::List { scope, members } => self.on_list(scope, members),
             Event::Progress { request, attempt, .. } => {
-                let job = self.jobs.get(&request);
-                if let Some(a) = job.and_then(|j| j.attempts.get(attempt as usize)) {
+                if let Some(a) = self.jobs.get(&request).and_then(|j| j.attempts.get(attempt as usize)) {
                     self.sign(a.worker);
                 }
             }
--- a/crates/cairncrank-core/src/policy/rate.rs
+++ b/crates/cairncrank-core/src/policy/rate.rs
@@ -15,6 +15,11 @@
 const HOPELESS: f64 = 0.75;
 
 impl Dispatcher {
+    /// What a usual job asks of a worker, in slots by seconds.
+    pub fn usual_job(&self) -> f64 {
+        self.slots * self.window()
+    }
+
     /// A window of R: about a running time, in which the effect of a change shows.
     pub(super) fn window(&self) -> Seconds {
         let mean = self.runs.iter().map(|r| r.mean).sum::<f64>() / self.runs.len() as f64;
@@ -52,8 +57,7 @@
             r.slots_per_s *= 1.0 + rise.max((most / r.slots_per_s - 1.0).min(1.0));
         }
         r.slots_per_s = r.slots_per_s.max(0.5);
-        r.limiting = false;
-        (r.taken, r.bounced, r.first_bouncer, r.several) = (0.0, 0.0, None, false);
+        (r.taken, r.bounced, r.first_bouncer, r.several, r.limiting) = (0.0, 0.0, None, false, false);
         self.size_banks();
         self.wake(self.window(), Wake::Window);
     }
--- a/crates/cairncrank-core/src/policy/throttle.rs
+++ b/crates/cairncrank-core/src/policy/throttle.rs
@@ -23,8 +23,7 @@
     }
 
     pub(super) fn accrue(&mut self) {
-        let dt = self.now - self.accrued;
-        self.accrued = self.now;
+        let dt = self.now - std::mem::replace(&mut self.accrued, self.now);
         if dt <= 0.0 {
             return;
         }
--- a/crates/cairncrank-core/src/state.rs
+++ b/crates/cairncrank-core/src/state.rs
@@ -8,6 +8,7 @@
 use crate::api::{
     Action, Member, Outcome, Request, RequestId, Seconds, Settings, Tenant, WorkerId, WorkerState,
 };
+use crate::cold::Spending;
 use crate::estimate::{Pace, Running};
 use crate::health::{Health, Outage};
 use crate::load::Waits;
@@ -208,8 +209,7 @@
     /// Its running times relative to its kind's, and the jobs of ours that run there.
     pub pace: Pace,
     pub running: Vec<Running>,
-    pub slice: u64,
-    pub spent: f64,
+    pub cold: Spending,
     pub probing: bool,
     /// Until when a connection of ours is thought to stand idle there.
     pub kept: Seconds,
@@ -442,6 +442,22 @@
         homes
     }
 
+    /// A watcher saw a worker fail `ago`, and for so long from `now` on that may be held against it.
+    pub(crate) fn sighted(&mut self, worker: WorkerId, now: Seconds, ago: Seconds, holds: Seconds) {
+        if let Some(&i) = self.index.get(&worker) {
+            let until = if holds > 0.0 { now + holds } else { 0.0 };
+            self.workers[i].health.sighted(now - ago.max(0.0), until);
+            self.count_shut();
+        }
+    }
+
+    /// So much work may be sent to a cold worker until then, beside the planned share.
+    pub(crate) fn granted(&mut self, worker: WorkerId, work: f64, until: Seconds, now: Seconds) {
+        if let Some(&i) = self.index.get(&worker) {
+            self.workers[i].cold.grant(work, until, now);
+        }
+    }
+
     pub(crate) fn count_shut(&mut self) {
         let serving = self.workers.iter().filter(|w| w.state == WorkerState::Serving);
         self.shut = serving.filter(|w| w.health.is_shut()).count();
