--- a/crates/cairncrank-fleet/src/effects.rs
+++ b/crates/cairncrank-fleet/src/effects.rs
@@ -21,8 +21,9 @@
 /// How long an owner waits for a receiver's answer before it connects anew.
 const ANSWER: Duration = Duration::from_secs(2);
 
-/// Takes connections of owners for as long as the listener lasts. `apply` gets what was taken, in the order taken.
-pub async fn receive(member: Member, listener: TcpListener, apply: impl Fn(Effect) + 'static) {
+/// Takes connections of owners for as long as the listener lasts. `apply` gets what was taken, in the order taken, and
+/// gives what is said back.
+pub async fn receive(member: Member, listener: TcpListener, apply: impl Fn(Effect) -> Vec<u8> + 'static) {
     let apply = Rc::new(apply);
     let room = Rc::new(Semaphore::new(MOST_OWNERS));
     loop {
@@ -44,7 +45,7 @@
 async fn of_one_owner(
     member: &Member,
     stream: tokio::net::TcpStream,
-    apply: &impl Fn(Effect),
+    apply: &impl Fn(Effect) -> Vec<u8>,
 ) -> io::Result<()> {
     let (mut link, hello) = Link::accept(stream).await?;
     let owner = match (check_hello(&hello, &member.settings().installation), hello.who) {
@@ -63,8 +64,7 @@
         let answer = match verdict {
             Ok(()) => {
                 member.record().put(now, "taken", what);
-                apply(effect);
-                EffectAnswer::Taken
+                EffectAnswer::Taken(apply(effect))
             }
             Err(refusal) => {
                 member.record().put(now, "refused", what);
@@ -85,25 +85,48 @@
     pub body: Rc<Vec<u8>>,
 }
 
+/// Gets what receivers say back.
+type Hears = Rc<dyn Fn(&[u8])>;
+
 /// The effects of one term, sent to every other member. Ends when dropped.
-#[derive(Debug)]
 pub struct Publisher {
     said: watch::Sender<Said>,
     tasks: BTreeMap<Peer, JoinHandle<()>>,
     member: Member,
     duty: DutyId,
     token: Token,
+    hears: Hears,
+}
+
+impl std::fmt::Debug for Publisher {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Publisher")
+            .field("duty", &self.duty)
+            .field("token", &self.token)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Publisher {
     /// For the term that this member holds with this token.
     pub fn new(member: &Member, duty: DutyId, token: Token) -> Publisher {
+        Publisher::hearing(member, duty, token, |_| {})
+    }
+
+    /// The same; `hears` gets what receivers say back to what they take.
+    pub fn hearing(
+        member: &Member,
+        duty: DutyId,
+        token: Token,
+        hears: impl Fn(&[u8]) + 'static,
+    ) -> Publisher {
         Publisher {
             said: watch::Sender::default(),
             tasks: BTreeMap::new(),
             member: member.clone(),
             duty,
             token,
+            hears: Rc::new(hears),
         }
     }
 
@@ -112,8 +135,9 @@
         self.token
     }
 
-    /// Says something to all members that are known now. What was said before and not sent yet is left out.
-    pub fn say(&mut self, body: Vec<u8>) {
+    /// Says something to all members that are known now, and returns its version. What was said before and not sent yet
+    /// is left out; what was sent and not answered may come twice.
+    pub fn say(&mut self, body: Vec<u8>) -> u64 {
         let own = &self.member.settings().name;
         let peers: Vec<Peer> = self.member.roster().into_iter().filter(|peer| peer.name != *own).collect();
         self.tasks.retain(|peer, task| {
@@ -127,9 +151,11 @@
         for peer in peers {
             self.tasks.entry(peer.clone()).or_insert_with(|| {
                 let (member, said) = (self.member.clone(), self.said.subscribe());
-                tokio::task::spawn_local(to_one_receiver(member, peer, self.duty.clone(), self.token, said))
+                let term = (self.duty.clone(), self.token, self.hears.clone());
+                tokio::task::spawn_local(to_one_receiver(member, peer, term, said))
             });
         }
+        self.said.borrow().version
     }
 }
 
@@ -142,14 +168,13 @@
 async fn to_one_receiver(
     member: Member,
     peer: Peer,
-    duty: DutyId,
-    token: Token,
+    term: (DutyId, Token, Hears),
     mut said: watch::Receiver<Said>,
 ) {
     let Ok(address) = peer.address.parse::<SocketAddr>() else { return };
     said.mark_changed();
     loop {
-        if let Err(error) = on_one_link(&member, address, &duty, token, &mut said).await {
+        if let Err(error) = on_one_link(&member, address, &term, &mut said).await {
             tracing::debug!(to = peer.name, %error, "a receiver is not reached");
         }
         if said.has_changed().is_err() {
@@ -164,11 +189,10 @@
 async fn on_one_link(
     member: &Member,
     address: SocketAddr,
-    duty: &DutyId,
-    token: Token,
+    (duty, token, hears): &(DutyId, Token, Hears),
     said: &mut watch::Receiver<Said>,
 ) -> io::Result<()> {
-    let settings = member.settings();
+    let (settings, token) = (member.settings(), *token);
     let incarnation = member.holder().borrow().last_session().map_or(0, |session| session.incarnation);
     let who = Who::Owner { name: settings.name.clone(), incarnation };
     let hello = Hello { schema: SCHEMA, installation: settings.installation.clone(), who };
@@ -190,7 +214,7 @@
         member.record().put(now, "acted", serde_json::json!({"duty": duty.to_string(), "token": token.0}));
         link.send_packed(packed).await?;
         match timeout(ANSWER, link.next::<EffectAnswer>()).await?? {
-            EffectAnswer::Taken => {}
+            EffectAnswer::Taken(back) => hears(&back),
             EffectAnswer::Refused(why) => {
                 tracing::warn!(duty = %duty, token = token.0, %why, "an effect of this process was refused");
             }
--- a/crates/cairncrank-fleet/src/lib.rs
+++ b/crates/cairncrank-fleet/src/lib.rs
@@ -4,9 +4,11 @@
 //! Nothing here is on the way of a request: a member that reaches no keeper goes on as if there were no fleet.
 
 pub mod clock;
+pub mod cold;
 pub mod effects;
 pub mod list;
 pub mod member;
 pub mod record;
 pub mod settings;
+pub mod watch;
 pub mod wire;
--- a/crates/cairncrank-fleet/src/settings.rs
+++ b/crates/cairncrank-fleet/src/settings.rs
@@ -6,6 +6,23 @@
 use cairncrank_duty::Times;
 use cairncrank_hcl::{Read, Section};
 
+use crate::cold::Dealing;
+use crate::watch::{Flaw, Watching};
+
+/// How often a watched worker is probed, in milliseconds, into how many sets the workers are cut, after how many
+/// failures in a row one is told to fail, and for how many periods that holds, where the file does not say.
+const EVERY_MS: u64 = 1_000;
+const SETS: u64 = 8;
+const FAILS: u64 = 2;
+const HOLDS: u64 = 4;
+/// The most sets: a member offers so many duties beside others.
+const MOST_SETS: u64 = 100;
+
+/// How long a cold grant is of use, in milliseconds, and the part of what a cold worker bears that may be granted, where
+/// the file does not say. The planned shares of two slices may meet in one span, so more than half is never free.
+const EXPIRY_MS: u64 = 500;
+const PART: f64 = 0.5;
+
 /// A text that has to be there, of 1 to 128 bytes.
 ///
 /// # Errors
@@ -76,3 +93,56 @@
     })?;
     Ok(times)
 }
+
+/// The block `watch`: how workers are watched by one member each.
+///
+/// # Errors
+/// A figure is out of bounds, or two do not fit together: the fault names both.
+pub fn watching(section: &Section) -> Read<Watching> {
+    let period = section.whole("every_ms", 100..=60_000)?.unwrap_or(EVERY_MS) * 1_000;
+    let holds = section.whole("holds_ms", 200..=600_000)?.map_or(HOLDS * period, |ms| ms * 1_000);
+    if holds < 2 * period {
+        return Err(section.fault(
+            "holds_ms",
+            "does not fit to every_ms: wanted at least twice as long, or what is said lapses between two probes",
+        ));
+    }
+    Ok(Watching {
+        sets: section.whole("sets", 1..=MOST_SETS)?.unwrap_or(SETS) as u16,
+        period,
+        fails: section.whole("fails", 1..=100)?.unwrap_or(FAILS) as u16,
+        holds,
+        flaw: flaw(section)?,
+    })
+}
+
+/// The block `cold`: how the budgets of cold workers are handed out by one member.
+///
+/// # Errors
+/// A figure is missing or out of bounds.
+pub fn dealing(section: &Section, times: &Times) -> Read<Dealing> {
+    let slots = section.number("slots", 0.1..=1e6)?;
+    Ok(Dealing {
+        slots: slots
+            .ok_or_else(|| section.fault("slots", "is missing: the slots of the smallest kind of worker"))?,
+        part: section.number("part", 0.0..=PART)?.unwrap_or(PART),
+        expiry: section.whole("expiry_ms", 200..=10_000)?.unwrap_or(EXPIRY_MS) * 1_000,
+        written: 0,
+        skew_ppm: times.skew_ppm,
+    })
+}
+
+/// A flaw put in on purpose. Only a build for such tests knows the key.
+#[cfg(feature = "seeded-bugs")]
+fn flaw(section: &Section) -> Read<Option<Flaw>> {
+    let Some(name) = section.text("flaw")? else { return Ok(None) };
+    let known = Flaw::NAMES.iter().find(|(known, _)| *known == name);
+    known
+        .map(|(_, flaw)| Some(*flaw))
+        .ok_or_else(|| section.fault("flaw", format!("there is no flaw {name:?}")))
+}
+
+#[cfg(not(feature = "seeded-bugs"))]
+fn flaw(_: &Section) -> Read<Option<Flaw>> {
+    Ok(None)
+}
--- a/crates/cairncrank-fleet/src/wire.rs
+++ b/crates/cairncrank-fleet/src/wire.rs
@@ -13,7 +13,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// The version of these messages. Both ends of a connection have the same.
-pub const SCHEMA: u16 = 1;
+pub const SCHEMA: u16 = 2;
 /// The longest frame, in bytes.
 pub const LONGEST_FRAME: usize = 4 << 20;
 /// The longest frame before the other end is known, in bytes.
@@ -305,10 +305,10 @@
 }
 
 /// What becomes of an effect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EffectAnswer {
-    /// It was taken.
-    Taken,
+    /// It was taken; what the duty has the receiver say back.
+    Taken(Vec<u8>),
     /// It was not.
     Refused(Refusal),
 }
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/joining.rs
@@ -0,0 +1,329 @@
+//! A day on which most workers are replaced by cold ones, with many dispatchers of little traffic each: what cold
+//! workers get, by their own records, and whether one is pushed over.
+//!
+//! The stand-in workers are slow while they are cold and fall when all dispatchers together send more than they bear.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_pcg::Pcg64;
+use serde::Serialize;
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use super::checker::{self, Records};
+use super::standin_discovery::Discovery;
+use super::together::{Binaries, Together};
+use super::waits::ask;
+use crate::sockets::http::{self, chunk, CHUNKED, LAST_CHUNK};
+
+/// Slots of each worker, and how long a job runs at a warm one.
+const SLOTS: usize = 4;
+const RUN: Duration = Duration::from_millis(200);
+/// What the settings tell of cold workers.
+const SHARE: f64 = 0.14;
+const WARM: Duration = Duration::from_secs(24);
+const MULTIPLE: f64 = 3.0;
+const SPAN: Duration = Duration::from_millis(1_500);
+/// How long a worker that was pushed over takes nothing.
+const DOWN: Duration = Duration::from_secs(5);
+const DEADLINE: Duration = Duration::from_secs(3);
+const PROMISE: Duration = Duration::from_secs(1);
+
+/// What is played.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Dispatchers; every fourth has five times the traffic of the others.
+    pub dispatchers: usize,
+    /// Workers that stay, and those that are replaced by as many cold ones.
+    pub workers: (usize, usize),
+    /// Jobs a second, at all dispatchers together.
+    pub rate: f64,
+    /// From the first cold worker on.
+    pub length: Duration,
+    /// Whether one owner hands the cold budgets out.
+    pub grants: bool,
+    /// The keepers' leader is killed, and the owner with it, in the middle.
+    pub kill: bool,
+    /// Draws when jobs come.
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            dispatchers: 24,
+            workers: (3, 6),
+            rate: 60.0,
+            length: Duration::from_secs(16),
+            grants: true,
+            kill: false,
+            seed: 1,
+        }
+    }
+}
+
+/// What a day gave.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Joined {
+    /// Cold workers that were pushed over.
+    pub fallen: u64,
+    /// Of what cold workers bore from their start on, the part that was sent to them.
+    pub used: f64,
+    /// The most that was sent in any span, as a part of what was borne.
+    pub fullest: f64,
+    /// Jobs handed in from the first cold worker on, the part of them that was served in time, and at all.
+    pub jobs: u64,
+    /// See [`Joined::jobs`].
+    pub in_time: f64,
+    /// See [`Joined::jobs`].
+    pub served: f64,
+    /// Answers by status; 0 for none.
+    pub answers: BTreeMap<u16, u64>,
+    /// Work that members recorded as granted, in slots by seconds.
+    pub granted: f64,
+    /// Violations of the rules of ownership.
+    pub broken: Vec<String>,
+}
+
+struct Worker {
+    slots: Semaphore,
+    /// When it started, if not long ago.
+    since: Option<Instant>,
+    /// When work was sent to it.
+    sent: RefCell<Vec<Instant>>,
+    down: Cell<Option<Instant>>,
+    falls: Cell<u64>,
+    random: RefCell<Pcg64>,
+}
+
+impl Worker {
+    fn new(cold: bool, seed: u64) -> Rc<Worker> {
+        Rc::new(Worker {
+            slots: Semaphore::new(SLOTS),
+            since: cold.then(Instant::now),
+            sent: RefCell::default(),
+            down: Cell::default(),
+            falls: Cell::default(),
+            random: RefCell::new(Pcg64::seed_from_u64(seed)),
+        })
+    }
+
+    fn warmth(&self, at: Instant) -> f64 {
+        let age = |since: Instant| at.duration_since(since).as_secs_f64() / WARM.as_secs_f64();
+        self.since.map_or(1.0, |since| SHARE + (1.0 - SHARE) * age(since).min(1.0))
+    }
+
+    /// Jobs that it bears in a span that ends then.
+    fn bears(&self, at: Instant) -> f64 {
+        MULTIPLE * self.warmth(at) * SLOTS as f64 * SPAN.as_secs_f64() / RUN.as_secs_f64()
+    }
+
+    /// Jobs sent in the span that ends with the last of these.
+    fn in_span(sent: &[Instant]) -> f64 {
+        let Some(last) = sent.last() else { return 0.0 };
+        sent.iter().rev().take_while(|at| *last - **at < SPAN).count() as f64
+    }
+
+    /// A job came; false where it pushed the worker over, or finds it down.
+    fn comes(&self, now: Instant) -> bool {
+        self.sent.borrow_mut().push(now);
+        if self.down.get().is_some_and(|until| now < until) {
+            return false;
+        }
+        let bears = self.bears(now);
+        if self.since.is_some() && Worker::in_span(&self.sent.borrow()) > bears + 3.0 * bears.sqrt() + 3.0 {
+            self.down.set(Some(now + DOWN));
+            self.falls.set(self.falls.get() + 1);
+            return false;
+        }
+        true
+    }
+}
+
+/// Plays one day below this folder.
+///
+/// # Errors
+/// Something could not be set up.
+pub fn play(dir: &Path, binaries: &Binaries, plan: &Plan) -> Result<Joined, String> {
+    std::fs::create_dir_all(dir).map_err(|error| format!("{}: {error}", dir.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| error.to_string())?;
+    LocalSet::new().block_on(&runtime, day(dir, binaries.clone(), plan))
+}
+
+async fn day(dir: &Path, binaries: Binaries, plan: &Plan) -> Result<Joined, String> {
+    let io = |error: std::io::Error| error.to_string();
+    let discovery = Discovery::new(0);
+    let (stay, replaced) = plan.workers;
+    for n in 0..stay + replaced {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io)?;
+        discovery.add(n, listener.local_addr().map_err(io)?);
+        spawn_local(work(Worker::new(false, plan.seed ^ n as u64), listener));
+    }
+    let block = format!("cold {{\nslots = {SLOTS}\n}}\n");
+    let members = (plan.dispatchers, Some(if plan.grants { block.as_str() } else { "" }));
+    let mut fleet =
+        Together::start(dir, binaries, settings(plan), members, std::slice::from_ref(&discovery)).await?;
+    fleet.all_know(stay + replaced).await?;
+    let tally = Rc::new(RefCell::new(Vec::new()));
+    let start = Instant::now();
+    // Time in which paces and rates are learnt.
+    let warm = start + Duration::from_secs(8);
+    let end = warm + plan.length;
+    let heavy = |n: usize| if n % 4 == 0 { 5.0 } else { 1.0 };
+    let all: f64 = (0..plan.dispatchers).map(heavy).sum();
+    for (n, address) in fleet.listen.iter().enumerate() {
+        let rate = plan.rate * heavy(n) / all;
+        spawn_local(clients(tally.clone(), (n as u64, *address), rate, plan.seed, end));
+    }
+    sleep_until(warm).await;
+    let mut cold = Vec::new();
+    for n in 0..replaced {
+        let worker = Worker::new(true, plan.seed ^ (100 + n as u64));
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io)?;
+        discovery.add_cold("north", 100 + n, listener.local_addr().map_err(io)?);
+        spawn_local(work(worker.clone(), listener));
+        cold.push(worker);
+        // The old one goes as its successor comes.
+        discovery.change(stay + n, "terminating");
+        sleep(Duration::from_millis(500)).await;
+    }
+    if plan.kill {
+        fleet.kill_keeper(fleet.leader());
+        if let Some(owner) = fleet.said("hands out what cold workers bear") {
+            fleet.kill_dispatcher(owner);
+        }
+    }
+    sleep_until(end + DEADLINE).await;
+    drop(fleet);
+    let mut records = Records::default();
+    for keeper in 1..=3u64 {
+        records.keepers.insert(keeper, checker::read(&dir.join(format!("k{keeper}.jsonl")))?);
+    }
+    for n in 0..plan.dispatchers {
+        records.members.insert(format!("d{n}"), checker::read(&dir.join(format!("d{n}.jsonl")))?);
+    }
+    let tally = tally.borrow();
+    Ok(sum(&cold, &tally, &records, (warm, end)))
+}
+
+type Tally = Rc<RefCell<Vec<(Instant, Duration, u16)>>>;
+
+fn sum(
+    cold: &[Rc<Worker>],
+    tally: &[(Instant, Duration, u16)],
+    records: &Records,
+    (warm, end): (Instant, Instant),
+) -> Joined {
+    let mut joined = Joined::default();
+    let (mut borne, mut sent) = (0.0, 0.0);
+    for worker in cold {
+        joined.fallen += worker.falls.get();
+        let all = worker.sent.borrow();
+        let all: Vec<Instant> = all.iter().copied().filter(|at| *at < end).collect();
+        for n in 0..all.len() {
+            joined.fullest = joined.fullest.max(Worker::in_span(&all[..=n]) / worker.bears(all[n]));
+        }
+        sent += all.len() as f64;
+        let mut at = worker.since.unwrap_or(warm);
+        while at < end {
+            borne += worker.bears(at);
+            at += SPAN;
+        }
+    }
+    joined.used = sent / borne.max(1.0);
+    let jobs: Vec<_> = tally.iter().filter(|(from, ..)| (warm..end).contains(from)).collect();
+    joined.jobs = jobs.len() as u64;
+    let part = |count: usize| count as f64 / jobs.len().max(1) as f64;
+    joined.served = part(jobs.iter().filter(|job| job.2 == 200).count());
+    joined.in_time = part(jobs.iter().filter(|job| job.2 == 200 && job.1 <= PROMISE).count());
+    jobs.iter().for_each(|job| *joined.answers.entry(job.2).or_default() += 1);
+    let granted = records.members.values().flatten().filter(|line| line.kind == "granted");
+    joined.granted = granted.filter_map(|line| line.rest.get("work")?.as_f64()).sum();
+    let broken = checker::check(records).into_iter();
+    joined.broken = broken
+        .flat_map(|(rule, texts)| texts.into_iter().map(move |text| format!("{rule}: {text}")))
+        .collect();
+    joined
+}
+
+fn settings(plan: &Plan) -> serde_json::Value {
+    json!({
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": {
+            "azs": ["north"], "flavors": ["small"], "balancers": plan.dispatchers, "slot-no": 0, "zone": 0,
+            "discovery": "push", "resolution-s": 0.001,
+            "profiles": [{"name": "lookup", "idempotency": "free", "promise-s": PROMISE.as_secs_f64(),
+                          "deadline-s": DEADLINE.as_secs_f64(), "late-worth": 0.2}],
+            "projects": [{"name": "web", "share": 1.0, "quota-per-s": plan.rate}],
+            "caps": {"cancel": true, "dial-timeout-s": 0.25, "keepalive-s": 5.0, "max-retry-after-s": 2.0,
+                     "parallel-tries": true, "probes": false, "retry-after": true, "send-cap": 4},
+            "family-info": {"tells-start": true, "class-stretch": [2.0], "class-kind": [-1]},
+            "obligations": {"cold-share": SHARE, "drain-grace-s": 0.5, "fall-multiple": MULTIPLE,
+                            "tip-after-s": SPAN.as_secs_f64(), "warm-within-s": WARM.as_secs_f64()},
+            "charges": {"cross-zone": 0.025}
+        }
+    })
+}
+
+async fn work(worker: Rc<Worker>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let worker = worker.clone();
+        spawn_local(async move {
+            // A connection that breaks is the other side's matter.
+            let _ = jobs(&worker, stream).await;
+        });
+    }
+}
+
+async fn jobs(worker: &Worker, mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buffer = BytesMut::new();
+    while let Some(head) = http::head(&mut stream, &mut buffer, true, || {}).await? {
+        let _ = http::body(&mut stream, &mut buffer, &head).await?;
+        if !worker.comes(Instant::now()) {
+            return Ok(());
+        }
+        let id = head.get("request-id").unwrap_or_default().to_owned();
+        let line = |state: &str| json!({"id": id, "state": state, "result": "ok"}).to_string();
+        let Ok(slot) = worker.slots.acquire().await else { return Ok(()) };
+        stream.write_all(&[CHUNKED, chunk(&line("started")).as_slice()].concat()).await?;
+        let varies = LogNormal::new(0.0, 0.3).map_or(1.0, |d| d.sample(&mut *worker.random.borrow_mut()));
+        sleep(RUN.mul_f64(varies / worker.warmth(Instant::now()))).await;
+        drop(slot);
+        stream.write_all(&[chunk(&line("done")).as_slice(), LAST_CHUNK].concat()).await?;
+    }
+    Ok(())
+}
+
+/// Hands jobs to a dispatcher at random times, each on a connection of its own.
+async fn clients(tally: Tally, (n, address): (u64, SocketAddr), rate: f64, seed: u64, end: Instant) {
+    let mut random = Pcg64::seed_from_u64(seed ^ (n << 32));
+    let mut count = 0u64;
+    let mut at = Instant::now() + Duration::from_secs_f64(random.random_range(0.0..1.0));
+    while at < end {
+        sleep_until(at).await;
+        count += 1;
+        let (tally, id) = (tally.clone(), n << 32 | count);
+        spawn_local(async move {
+            let from = Instant::now();
+            let answer = timeout(DEADLINE + Duration::from_millis(500), ask(&mut None, address, id)).await;
+            let status = answer.ok().and_then(Result::ok).unwrap_or(0);
+            tally.borrow_mut().push((from, from.elapsed(), status));
+        });
+        let pause: f64 = Exp1.sample(&mut random);
+        at += Duration::from_secs_f64(pause / rate);
+    }
+}
--- a/crates/cairncrank-lab/src/fleet/light.rs
+++ b/crates/cairncrank-lab/src/fleet/light.rs
@@ -82,7 +82,7 @@
     };
     let member = Member::new(settings, Holder::new(light.times).with_flaw(flaw), record);
     member.record().put(cairncrank_fleet::clock::now(), "started", serde_json::json!({}));
-    tokio::task::spawn_local(receive(member.clone(), listener, |_| {}));
+    tokio::task::spawn_local(receive(member.clone(), listener, |_| Vec::new()));
     tokio::task::spawn_local(own(member.clone()));
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let leaver = member.clone();
@@ -110,7 +110,9 @@
             terms.entry(duty.clone()).or_insert_with(|| Publisher::new(&member, duty, token));
         }
         for _ in 0..PIECES {
-            terms.values_mut().for_each(|term| term.say(Vec::new()));
+            terms.values_mut().for_each(|term| {
+                term.say(Vec::new());
+            });
             sleep(PIECE).await;
         }
         sleep(ROUND).await;
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -3,11 +3,13 @@
 //! [`plan`] reads an experiment and draws schedules of faults by seed; [`rig`] plays one with real processes, every
 //! link between two of them through [`proxy`]; [`checker`] reads the records that the processes left, and nothing
 //! else; [`results`] adds up. [`light`] is a member without jobs, on the real transport. [`together`] is a
-//! fleet of real dispatchers with one discovery, [`waits`] asks whether their clients notice it. [`model`] checks the protocol
+//! fleet of real dispatchers with one discovery, [`waits`] asks whether their clients notice it, [`watching`] has them
+//! watch workers for each other while faults happen, [`joining`] replaces most workers by cold ones. [`model`] checks the protocol
 //! in every order of events, [`hours`] in virtual time.
 
 pub mod checker;
 pub mod hours;
+pub mod joining;
 pub mod light;
 pub mod model;
 pub mod plan;
@@ -17,3 +19,4 @@
 pub mod standin_discovery;
 pub mod together;
 pub mod waits;
+pub mod watching;
--- a/crates/cairncrank-lab/src/fleet/standin_discovery.rs
+++ b/crates/cairncrank-lab/src/fleet/standin_discovery.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::BytesMut;
 use serde_json::{json, Value};
@@ -31,6 +31,8 @@
     revision: u64,
     /// By worker: the revision of its last change, and its entry.
     workers: BTreeMap<String, (u64, Value)>,
+    /// When those started that did not start long ago, in Unix milliseconds.
+    since: BTreeMap<usize, u64>,
     asked: u64,
     watches: u64,
     silent: bool,
@@ -54,21 +56,34 @@
 
     /// Adds a worker that is there, or moves one.
     pub fn add(&self, worker: usize, address: SocketAddr) {
-        self.put(worker, "in_service", &address.to_string());
+        self.add_in("north", worker, address);
+    }
+
+    /// Adds a worker that is there in this zone.
+    pub fn add_in(&self, zone: &str, worker: usize, address: SocketAddr) {
+        self.put(zone, worker, "in_service", &address.to_string());
+    }
+
+    /// Adds a worker that has just started.
+    pub fn add_cold(&self, zone: &str, worker: usize, address: SocketAddr) {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        self.shared.borrow_mut().since.insert(worker, unix.as_millis() as u64);
+        self.put(zone, worker, "in_service", &address.to_string());
     }
 
     /// Changes the phase of a worker that is not there.
     pub fn change(&self, worker: usize, phase: &str) {
-        self.put(worker, phase, &format!("127.0.0.1:{}", 9 + worker));
+        self.put("north", worker, phase, &format!("127.0.0.1:{}", 9 + worker));
     }
 
-    fn put(&self, worker: usize, phase: &str, address: &str) {
+    fn put(&self, zone: &str, worker: usize, phase: &str, address: &str) {
         let mut shared = self.shared.borrow_mut();
         shared.revision += 1;
         let id = format!("w-{worker:04}");
+        let since = shared.since.get(&worker).copied().unwrap_or(0);
         let entry = json!({
-            "id": id, "host_port": address, "locality": "north", "flavor": "small",
-            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0,
+            "id": id, "host_port": address, "locality": zone, "flavor": "small",
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": since,
         });
         let revision = shared.revision;
         shared.workers.insert(id, (revision, entry));
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -1,8 +1,9 @@
 //! Keepers and real dispatchers as processes, with one discovery for all of them: what a fleet is set up as.
 
-use std::net::{SocketAddr, TcpListener as Probe};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rustix::process::{kill_process, Pid, Signal};
@@ -43,7 +44,7 @@
     pub discovery: Discovery,
     keepers: Vec<Option<Process>>,
     dispatchers: Vec<Option<Process>>,
-    consoles: Vec<u16>,
+    consoles: Vec<SocketAddr>,
     /// Where clients reach the dispatchers.
     pub listen: Vec<SocketAddr>,
 }
@@ -52,10 +53,21 @@
     move |error| format!("{what}: {error}")
 }
 
-fn free() -> Result<u16, String> {
-    let port =
-        Probe::bind("127.0.0.1:0").and_then(|probe| probe.local_addr()).map_err(fault("a free port"))?;
-    Ok(port.port())
+/// Addresses for one fleet: a host of this machine that nobody else uses, and its ports one after another. A port that
+/// was found free may be given to somebody else before it is used.
+struct Addresses(Ipv4Addr, u16);
+
+impl Addresses {
+    fn new() -> Addresses {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let next = NEXT.fetch_add(1, Ordering::Relaxed) % 250;
+        Addresses(Ipv4Addr::new(127, 100 + (std::process::id() % 150) as u8, next as u8, 1), 20_000)
+    }
+
+    fn next(&mut self) -> SocketAddr {
+        self.1 += 1;
+        SocketAddr::from((self.0, self.1))
+    }
 }
 
 fn write(path: &Path, text: String) -> Result<(), String> {
@@ -64,7 +76,8 @@
 
 impl Together {
     /// Sets three keepers and some dispatchers up below a folder and starts them. `config` is a dispatcher's, without
-    /// name and addresses; `together` says whether the dispatchers are members of a fleet.
+    /// name and addresses; `together` says whether the dispatchers are members of a fleet, and what is added to their
+    /// block `fleet`. All ask one discovery, or each its own.
     ///
     /// # Errors
     /// Something cannot be set up.
@@ -72,17 +85,20 @@
         dir: &Path,
         binaries: Binaries,
         mut config: Value,
-        (dispatchers, together): (usize, bool),
-        discovery: Discovery,
+        (dispatchers, together): (usize, Option<&str>),
+        discoveries: &[Discovery],
     ) -> Result<Together, String> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault("discovery"))?;
-        let at = listener.local_addr().map_err(fault("discovery"))?;
-        spawn_local(discovery.clone().serve(listener));
-        let ports: Result<Vec<u16>, String> = (0..3).map(|_| free()).collect();
-        let block = |(n, port): (usize, &u16)| {
-            format!("keeper \"{}\" {{\n  address = \"127.0.0.1:{port}\"\n}}\n", n + 1)
-        };
-        let keepers: String = ports?.iter().enumerate().map(block).collect();
+        let (mut addresses, mut at) = (Addresses::new(), Vec::new());
+        for discovery in discoveries {
+            let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault("discovery"))?;
+            at.push(listener.local_addr().map_err(fault("discovery"))?);
+            spawn_local(discovery.clone().serve(listener));
+        }
+        let discovery = discoveries.first().cloned().ok_or("no discovery")?;
+        let doors: Vec<SocketAddr> = (0..3).map(|_| addresses.next()).collect();
+        let block =
+            |(n, at): (usize, &SocketAddr)| format!("keeper \"{}\" {{\n  address = \"{at}\"\n}}\n", n + 1);
+        let keepers: String = doors.iter().enumerate().map(block).collect();
         for n in 1..=3 {
             let serve = format!(
                 "serve {{\n  keeper = {n}\n  store = \"{}\"\n}}\n",
@@ -99,19 +115,25 @@
         config["known"] = json!({"revision": 0, "complete": true, "members": []});
         let (mut consoles, mut listen) = (Vec::new(), Vec::new());
         for n in 0..dispatchers {
-            consoles.push(free()?);
-            listen.push(SocketAddr::from(([127, 0, 0, 1], free()?)));
+            consoles.push(addresses.next());
+            listen.push(addresses.next());
             config["name"] = format!("d{n}").into();
             config["listen"] = listen[n].to_string().into();
-            config["console"] = format!("127.0.0.1:{}", consoles[n]).into();
-            config["discovery"] = at.to_string().into();
+            config["console"] = consoles[n].to_string().into();
+            config["discovery"] = at[n % at.len()].to_string().into();
+            let count = config["settings"]["balancers"].as_u64().unwrap_or(1).max(1);
+            config["settings"]["slot-no"] = (n as u64 % count).into();
+            let zones = config["settings"]["azs"].as_array().map_or(1, Vec::len).max(1);
+            config["settings"]["zone"] = (n % zones).into();
             config["seed"] = format!("{:016x}", n + 1).into();
             write(&dir.join(format!("d{n}.json")), config.to_string())?;
             let fleet = format!(
-                "fleet {{\ninstallation = \"test\"\nlisten = \"127.0.0.1:{}\"\n{keepers}}}\n",
-                free()?
+                "fleet {{\ninstallation = \"test\"\nlisten = \"{}\"\nrecord = \"{}\"\n{keepers}{}}}\n",
+                addresses.next(),
+                dir.join(format!("d{n}.jsonl")).display(),
+                together.unwrap_or_default(),
             );
-            write(&dir.join(format!("d{n}.hcl")), if together { fleet } else { String::new() })?;
+            write(&dir.join(format!("d{n}.hcl")), if together.is_some() { fleet } else { String::new() })?;
         }
         let mut fleet = Together {
             dir: dir.to_owned(),
@@ -122,7 +144,7 @@
             consoles,
             listen,
         };
-        if together {
+        if together.is_some() {
             (1..=3).try_for_each(|n| fleet.start_keeper(n))?;
         }
         (0..dispatchers).try_for_each(|n| fleet.start_dispatcher(n))?;
@@ -146,7 +168,8 @@
     /// # Errors
     /// It cannot be started.
     pub fn start_keeper(&mut self, n: usize) -> Result<(), String> {
-        let arguments = ["serve".into(), "--config".into(), self.dir.join(format!("k{n}.hcl"))];
+        let file = |ending: &str| self.dir.join(format!("k{n}.{ending}"));
+        let arguments = ["serve".into(), "--config".into(), file("hcl"), "--record".into(), file("jsonl")];
         self.keepers[n - 1] = Some(self.spawn(&self.binaries.keeper, &format!("k{n}"), &arguments)?);
         Ok(())
     }
@@ -172,6 +195,22 @@
         self.dispatchers[n] = None;
     }
 
+    /// Whether dispatcher `n` was not killed.
+    #[must_use]
+    pub fn runs(&self, n: usize) -> bool {
+        self.dispatchers[n].is_some()
+    }
+
+    /// Sends a signal to dispatcher `n`.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn signal(&self, n: usize, signal: Signal) -> Result<(), String> {
+        let id = self.dispatchers[n].as_ref().and_then(|process| i32::try_from(process.0.id()).ok());
+        let pid = id.and_then(Pid::from_raw).ok_or("it does not run")?;
+        kill_process(pid, signal).map_err(|error| error.to_string())
+    }
+
     /// Names another discovery in the configuration of dispatcher `n` and tells it to read that again.
     ///
     /// # Errors
@@ -182,9 +221,7 @@
         let mut config: Value = serde_json::from_slice(&text).map_err(|error| error.to_string())?;
         config["discovery"] = to.to_string().into();
         write(&file, config.to_string())?;
-        let id = self.dispatchers[n].as_ref().and_then(|process| i32::try_from(process.0.id()).ok());
-        let pid = id.and_then(Pid::from_raw).ok_or("it does not run")?;
-        kill_process(pid, Signal::HUP).map_err(|error| error.to_string())
+        self.signal(n, Signal::HUP)
     }
 
     /// The keeper that said last that it leads, from one.
@@ -199,9 +236,14 @@
 
     /// The dispatcher that said last that it asks for the fleet, from nought.
     pub fn owner(&self) -> Option<usize> {
+        self.said("asks discovery for the fleet")
+    }
+
+    /// The dispatcher whose log has these words with the highest token, from nought.
+    pub fn said(&self, words: &str) -> Option<usize> {
         let token = |n: usize| {
             let log = std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
-            let line = log.lines().rfind(|line| line.contains("asks discovery for the fleet"))?.to_owned();
+            let line = log.lines().rfind(|line| line.contains(words))?.to_owned();
             line.rsplit_once("token=")?.1.split_whitespace().next()?.parse::<u64>().ok()
         };
         (0..self.dispatchers.len()).filter_map(|n| Some((token(n)?, n))).max().map(|(_, n)| n)
@@ -215,7 +257,7 @@
 
     /// How many workers a dispatcher knows, by its console.
     pub async fn known(&self, n: usize) -> Option<usize> {
-        let mut stream = TcpStream::connect(("127.0.0.1", self.consoles[n])).await.ok()?;
+        let mut stream = TcpStream::connect(self.consoles[n]).await.ok()?;
         stream
             .write_all(b"GET /status/metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
             .await
--- a/crates/cairncrank-lab/src/fleet/waits.rs
+++ b/crates/cairncrank-lab/src/fleet/waits.rs
@@ -115,8 +115,14 @@
         discovery.add(worker, listener.local_addr().map_err(io)?);
         spawn_local(work(listener));
     }
-    let mut fleet =
-        Together::start(dir, binaries, settings(), (DISPATCHERS, arm != Arm::Off), discovery).await?;
+    let mut fleet = Together::start(
+        dir,
+        binaries,
+        settings(),
+        (DISPATCHERS, (arm != Arm::Off).then_some("")),
+        &[discovery],
+    )
+    .await?;
     fleet.all_know(WORKERS).await?;
     if arm != Arm::Off {
         fleet.watches(1).await?;
@@ -240,7 +246,7 @@
     }
 }
 
-async fn ask(kept: &mut Option<TcpStream>, address: SocketAddr, id: u64) -> std::io::Result<u16> {
+pub(super) async fn ask(kept: &mut Option<TcpStream>, address: SocketAddr, id: u64) -> std::io::Result<u16> {
     let mut stream = match kept.take() {
         Some(stream) => stream,
         None => TcpStream::connect(address).await?,
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -1,22 +1,26 @@
 //! The command line of the lab.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cairncrank_duty::Flaw;
 use cairncrank_lab::fleet::hours::live;
+use cairncrank_lab::fleet::joining;
 use cairncrank_lab::fleet::light;
 use cairncrank_lab::fleet::model::{search, Bounds};
 use cairncrank_lab::fleet::plan::Plan;
 use cairncrank_lab::fleet::results::run as fleet_run;
 use cairncrank_lab::fleet::rig::Programs;
 use cairncrank_lab::fleet::together::Binaries;
+use cairncrank_lab::fleet::watching;
 use cairncrank_lab::report::{compare, Results};
 use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
 use clap::{Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
+use rayon::prelude::*;
 
 /// Emulates a fleet and runs experiments on it.
 #[derive(Parser)]
@@ -76,6 +80,29 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Lets dispatchers watch workers for each other while faults happen, with clients whose jobs are accounted for.
+    Watching(WatchingArgs),
+    /// Replaces most workers by cold ones, with and without one owner who hands out what these bear, side by side.
+    Joining {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+        seeds: u64,
+        /// Dispatchers.
+        #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u16).range(1..=64))]
+        dispatchers: u16,
+        /// Jobs a second at all of them together.
+        #[arg(long, default_value_t = 60.0)]
+        rate: f64,
+        /// Kill the owner and the keepers' leader in the middle.
+        #[arg(long)]
+        kill: bool,
+        /// The folder for what the processes leave, and joining.json.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Lets fleets live in virtual time, with clocks of different rates, and checks who acts when.
     Hours {
         /// How many hours.
@@ -123,6 +150,43 @@
     },
 }
 
+#[derive(clap::Args)]
+struct WatchingArgs {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many schedules, by seeds counted up from the first.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    seeds: u64,
+    /// Schedules side by side.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
+    at_once: u16,
+    /// How long each lasts, in seconds.
+    #[arg(long, default_value_t = 30)]
+    length_s: u64,
+    /// How often a fault begins, in seconds.
+    #[arg(long, default_value_t = 5.0)]
+    every_s: f64,
+    /// Dispatchers.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+    dispatchers: u16,
+    /// Workers.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u16).range(1..=500))]
+    workers: u16,
+    /// Only SIGKILL of dispatchers.
+    #[arg(long)]
+    only_kills: bool,
+    /// The same faults with nobody watching.
+    #[arg(long)]
+    off: bool,
+    /// A flaw to put in: no-wait, trusting or no-look.
+    #[arg(long)]
+    seeded_bug: Option<String>,
+    /// The folder for what the processes leave, and watching.json.
+    #[arg(long)]
+    out: PathBuf,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Drive {
     /// Discrete events, no clock.
@@ -194,6 +258,71 @@
     Ok(())
 }
 
+fn watching(args: &WatchingArgs) -> Result<(), String> {
+    let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
+    let base = watching::Plan {
+        dispatchers: args.dispatchers.into(),
+        workers: args.workers.into(),
+        length: Duration::from_secs(args.length_s),
+        every: Duration::from_secs_f64(args.every_s.max(0.5)),
+        only_kills: args.only_kills,
+        watch: !args.off,
+        flaw: args.seeded_bug.clone(),
+        ..watching::Plan::default()
+    };
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(args.at_once.into()).build();
+    let pool = pool.map_err(|error| error.to_string())?;
+    let one = |seed: u64| {
+        let dir = args.out.join(format!("seed-{seed}"));
+        watching::play(&dir, &binaries, &watching::Plan { seed, ..base.clone() }).map(|played| (seed, played))
+    };
+    let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
+    let played: Result<BTreeMap<u64, watching::Watched>, String> =
+        pool.install(|| seeds.into_par_iter().with_max_len(1).map(one).collect());
+    let played = played?;
+    let text = serde_json::to_string_pretty(&played).map_err(|error| error.to_string())?;
+    let file = args.out.join("watching.json");
+    std::fs::write(&file, &text).map_err(|error| format!("{}: {error}", file.display()))?;
+    print!("{}", watching::table(&played));
+    match played.iter().find(|(_, played)| !played.rules.is_empty()) {
+        Some((seed, _)) => {
+            Err(format!("rules were broken, see {}; seed {seed} plays one again", file.display()))
+        }
+        None => Ok(()),
+    }
+}
+
+fn joining((first, seeds): (u64, u64), plan: &joining::Plan, out: &Path) -> Result<(), String> {
+    let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
+    let mut days: BTreeMap<String, joining::Joined> = BTreeMap::new();
+    for seed in first..first.saturating_add(seeds) {
+        // Both arms at once, so that what else the machine does meets both.
+        let arm = |grants: bool| {
+            let (name, plan) = (if grants { "granted" } else { "planned" }, plan.clone());
+            let (dir, binaries) = (out.join(format!("seed-{seed}-{name}")), binaries.clone());
+            std::thread::spawn(move || {
+                joining::play(&dir, &binaries, &joining::Plan { grants, seed, ..plan })
+                    .map(|day| (format!("{seed} {name}"), day))
+            })
+        };
+        for lane in [arm(false), arm(true)] {
+            let (name, day) = lane.join().map_err(|_| "a lane panicked".to_owned())??;
+            println!(
+                "{name}: used {:.3}, fullest {:.3}, fallen {}, in time {:.3}, served {:.3}, granted {:.1}, answers {:?}",
+                day.used, day.fullest, day.fallen, day.in_time, day.served, day.granted, day.answers
+            );
+            days.insert(name, day);
+        }
+    }
+    let text = serde_json::to_string_pretty(&days).map_err(|error| error.to_string())?;
+    let file = out.join("joining.json");
+    std::fs::write(&file, text).map_err(|error| format!("{}: {error}", file.display()))?;
+    match days.iter().find(|(_, day)| day.fallen > 0 || !day.broken.is_empty()) {
+        Some((name, day)) => Err(format!("{name}: {} fallen, {:?}", day.fallen, day.broken)),
+        None => Ok(()),
+    }
+}
+
 fn model(bounds: Bounds, bug: Option<&str>, threads: usize) -> Result<(), String> {
     let start = Instant::now();
     let found = search(flaw(bug)?, bounds, threads);
@@ -299,6 +428,12 @@
             run_fleet(&file, (seed, seeds), &out, at_once, seeded_bug.as_deref(), (arm.as_deref(), length_s))
         }
         Command::Waits { length_s, out } => waits(length_s, &out),
+        Command::Joining { seed, seeds, dispatchers, rate, kill, out } => {
+            let plan =
+                joining::Plan { dispatchers: dispatchers.into(), rate, kill, ..joining::Plan::default() };
+            joining((seed, seeds), &plan, &out)
+        }
+        Command::Watching(args) => watching(&args),
         Command::LightMember { file } => light::run(&file),
         Command::Hours { hours, seed, skew_ppm, seeded_bug } => {
             flaw(seeded_bug.as_deref()).and_then(|flaw| {
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -28,7 +28,9 @@
     let binaries = Binaries { dispatcher: built("cairncrank"), keeper: built("cairncrank-keeper") };
     let discovery = Discovery::new(WORKERS);
     let fleet =
-        Together::start(dir.path(), binaries, config, (DISPATCHERS, together), discovery).await.unwrap();
+        Together::start(dir.path(), binaries, config, (DISPATCHERS, together.then_some("")), &[discovery])
+            .await
+            .unwrap();
     fleet.all_know(WORKERS).await.unwrap();
     fleet.watches(if together { 1 } else { DISPATCHERS as u64 }).await.unwrap();
     (dir, fleet)
--- a/crates/cairncrank/src/engine.rs
+++ b/crates/cairncrank/src/engine.rs
@@ -164,6 +164,10 @@
     /// A probe ended: whether the worker answered that it is well, and what it said of its load. Each
     /// [`Command::Probe`] is followed by one; where a probe was out already, its end answers both.
     Probed(WorkerId, bool, Option<Load>),
+    /// One who watches workers for all saw this one fail so long ago, which may be held against it for so long.
+    Sighted(WorkerId, Micros, Micros),
+    /// One who hands cold budgets out for all granted so much work at this worker until then.
+    Granted(WorkerId, f64, Micros),
     /// The worker list, or a part of it.
     List(Scope, Vec<Listed>),
     /// Other settings hold from here on.
@@ -289,6 +293,8 @@
     ended: VecDeque<(RequestId, u32, Outcome)>,
     commands: mpsc::UnboundedSender<Command>,
     finishing: bool,
+    /// What a usual job asks of a worker, for whoever asked to be kept up to date.
+    usual: Option<Rc<Cell<f64>>>,
 }
 
 impl std::fmt::Debug for Engine {
@@ -319,6 +325,7 @@
             ended: VecDeque::new(),
             commands,
             finishing: false,
+            usual: None,
         };
         engine.dispatcher.start(seconds(engine.now), &mut engine.actions);
         engine.act();
@@ -326,6 +333,13 @@
         engine
     }
 
+    /// What a usual job asks of a worker, in slots by seconds; kept up to date from now on.
+    pub fn usual_job(&mut self) -> Rc<Cell<f64>> {
+        let usual = self.usual.get_or_insert_with(Rc::default);
+        usual.set(self.dispatcher.usual_job());
+        usual.clone()
+    }
+
     /// Takes inputs and timers in turns, until nobody can send any.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut turn = Vec::with_capacity(TURN);
@@ -347,6 +361,9 @@
                 self.take(input);
             }
             self.fire();
+            if let Some(usual) = &self.usual {
+                usual.set(self.dispatcher.usual_job());
+            }
         }
     }
 
@@ -396,6 +413,12 @@
                     self.tell(Event::Progress { request, attempt, done });
                 }
             }
+            Input::Granted(worker, work, until) => {
+                self.tell(Event::Granted { worker, work, until: seconds(until) });
+            }
+            Input::Sighted(worker, ago, holds) => {
+                self.tell(Event::Sighted { worker, ago: seconds(ago), holds: seconds(holds) });
+            }
             Input::Probed(worker, ok, load) => self.tell(Event::Probed { worker, ok, load }),
             Input::Ended(request, attempt, outcome, result, load) => {
                 if self.is_out(request, attempt) {
--- /dev/null
+++ b/crates/cairncrank/src/net/cold.rs
@@ -0,0 +1,181 @@
+//! Cold grants, where our own settings ask for them: one member hands out what cold workers bear from all dispatchers
+//! together, and each gives its engine what it is granted on top of the planned share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use cairncrank_duty::{DutyId, Micros, Token};
+use cairncrank_fleet::clock;
+use cairncrank_fleet::cold::{Ages, Dealer, Dealing, Grants, Purse, Use, Warming, COLD};
+use cairncrank_fleet::effects::Publisher;
+use cairncrank_fleet::member::Member;
+use cairncrank_fleet::wire::Effect;
+use tokio::time::{interval, MissedTickBehavior};
+
+use super::console::FleetMetrics;
+use super::fleet::ROUND;
+use super::worker::Pool;
+use crate::engine::Input;
+use cairncrank_core::api::WorkerId;
+
+/// Grants are made every so many rounds.
+const DEALS: u32 = 2;
+/// The list is looked through for workers that started every so many rounds.
+const LISTS: u32 = 10;
+/// How much of what was seen in one second of rounds goes into the figure of jobs a second.
+const LEARN: f64 = 0.1;
+
+struct Term {
+    token: Token,
+    dealer: Rc<RefCell<Dealer>>,
+    publisher: Publisher,
+}
+
+/// This dispatcher's part in cold grants.
+pub(super) struct Colds {
+    how: Dealing,
+    warming: Warming,
+    member: Member,
+    pool: Rc<Pool>,
+    metrics: FleetMetrics,
+    /// A number that tells this process from others of its name.
+    process: u64,
+    /// What a usual job asks of a worker, by the module.
+    usual: Rc<Cell<f64>>,
+    jobs_per_s: Cell<f64>,
+    counted: Cell<u64>,
+    ages: RefCell<Ages>,
+    purse: RefCell<Purse>,
+    term: RefCell<Option<Term>>,
+    random: RefCell<fastrand::Rng>,
+}
+
+impl Colds {
+    pub(super) fn new(
+        (how, warming): (Dealing, Warming),
+        member: Member,
+        pool: Rc<Pool>,
+        metrics: FleetMetrics,
+        usual: Rc<Cell<f64>>,
+        seed: u64,
+    ) -> Colds {
+        let process = clock::unique();
+        Colds {
+            how,
+            warming,
+            member,
+            pool,
+            metrics,
+            process,
+            usual,
+            jobs_per_s: Cell::default(),
+            counted: Cell::default(),
+            ages: RefCell::default(),
+            purse: RefCell::new(Purse::new(process, &how)),
+            term: RefCell::default(),
+            random: RefCell::new(fastrand::Rng::with_seed(seed)),
+        }
+    }
+
+    /// The owner says what it grants, its token was found good; the answer says what is used here.
+    pub(super) fn heard(&self, effect: &Effect) -> Vec<u8> {
+        match Grants::unpack(&effect.body) {
+            Some(grants) => self.granted(effect.token, effect.version, &grants),
+            None => tracing::warn!("what is granted of cold workers cannot be read"),
+        }
+        self.used().pack()
+    }
+
+    fn used(&self) -> Use {
+        let (asked, usual) = (clock::now(), self.usual.get());
+        Use { process: self.process, asked, jobs_per_s: self.jobs_per_s.get(), usual }
+    }
+
+    fn granted(&self, token: Token, version: u64, grants: &Grants) {
+        let now = clock::now();
+        for (worker, work, until) in self.purse.borrow_mut().take(token, version, grants, now) {
+            let at = self.pool.clock.now() + until.saturating_sub(now);
+            let what = serde_json::json!({"worker": worker, "work": work, "until": until, "token": token.0});
+            self.member.record().put(now, "granted", what);
+            self.metrics.granted.inc_by(work);
+            self.pool.handle.tell(Input::Granted(WorkerId(worker), work, at));
+        }
+    }
+
+    /// Keeps count, and hands out while the duty is ours, for as long as the program runs.
+    pub(super) async fn rounds(self: Rc<Self>) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count = 0u32;
+        let mut before = clock::now();
+        loop {
+            rounds.tick().await;
+            count = count.wrapping_add(1);
+            let now = clock::now();
+            self.count(now - before);
+            before = now;
+            if count % LISTS == 1 {
+                self.list(now);
+            }
+            self.own(now);
+            if count % DEALS == 0 {
+                self.deal(now);
+            }
+        }
+    }
+
+    fn count(&self, span: Micros) {
+        let begun = self.pool.begun.get();
+        let seen = (begun - self.counted.replace(begun)) as f64 / (span.max(1) as f64 / 1e6);
+        self.jobs_per_s.set(self.jobs_per_s.get() + LEARN * (seen - self.jobs_per_s.get()));
+    }
+
+    fn list(&self, now: Micros) {
+        let peers = self.pool.peers.borrow();
+        let serving = peers.iter().filter(|(_, peer)| peer.serves.get());
+        self.ages.borrow_mut().list(now, serving.map(|(id, peer)| (id.0, peer.since.get().to_bits())));
+    }
+
+    fn own(&self, now: Micros) {
+        let duty = DutyId::fleet(COLD);
+        let owned = self.member.owned().into_iter().find(|(owned, _)| *owned == duty);
+        let mut term = self.term.borrow_mut();
+        match owned {
+            Some((_, token)) if term.as_ref().is_some_and(|term| term.token == token) => {}
+            Some((duty, token)) => {
+                tracing::info!(token = token.0, "hands out what cold workers bear");
+                let dealer = Rc::new(RefCell::new(Dealer::new(self.how, self.warming, now)));
+                let hears = dealer.clone();
+                let publisher = Publisher::hearing(&self.member, duty, token, move |said| {
+                    if let Some(used) = Use::unpack(said) {
+                        hears.borrow_mut().heard(used, clock::now());
+                    }
+                });
+                *term = Some(Term { token, dealer, publisher });
+            }
+            None => *term = None,
+        }
+    }
+
+    /// Grants what can be granted now. While no worker is cold nothing is said.
+    fn deal(&self, now: Micros) {
+        let mut term = self.term.borrow_mut();
+        let Some(term) = term.as_mut().filter(|_| self.ages.borrow().any_younger(now, self.warming.within))
+        else {
+            return;
+        };
+        let grants = {
+            let mut dealer = term.dealer.borrow_mut();
+            dealer.heard(self.used(), now);
+            let mut random = self.random.borrow_mut();
+            let grants = dealer.deal(now, &self.ages.borrow(), || random.f64());
+            self.metrics.dealt.set(dealer.total());
+            grants
+        };
+        let version = term.publisher.say(grants.pack());
+        // Our own part, by the same rules as everybody's: the lease is looked at immediately before.
+        if self.member.may_act(&DutyId::fleet(COLD), term.token) {
+            self.granted(term.token, version, &grants);
+        }
+    }
+}
--- a/crates/cairncrank/src/net/console.rs
+++ b/crates/cairncrank/src/net/console.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Counter, Encoder, Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -46,6 +46,29 @@
     pub malformed_reports: IntCounter,
 }
 
+/// The figures of a member of a fleet.
+#[derive(Debug, Clone)]
+pub struct FleetMetrics {
+    /// Whether the keepers' word that this is a member holds now.
+    pub session: IntGauge,
+    /// Duties that are ours.
+    pub owned: IntGauge,
+    /// Effects of others that were refused since the start: old tokens, or no session here.
+    pub refused: IntGauge,
+    /// Workers that this member watches for all.
+    pub watched: IntGauge,
+    /// Those of them that fail.
+    pub failing: IntGauge,
+    /// Workers that some watcher's word is held against here.
+    pub against: IntGauge,
+    /// Probes written on behalf of the fleet.
+    pub probes: IntCounter,
+    /// Work at cold workers that this member was granted since the start, in slots by seconds.
+    pub granted: Counter,
+    /// Work at cold workers that this member granted to all in its last term, in slots by seconds.
+    pub dealt: Gauge,
+}
+
 /// How a job ended for its client, or that an attempt was written whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -112,6 +135,42 @@
         metrics
     }
 
+    /// The figures of a member, shown from now on. Called once, where our own settings name a fleet.
+    ///
+    /// # Panics
+    /// Never where it is called once: the names are fixed and differ.
+    #[must_use]
+    pub fn fleet(&self) -> FleetMetrics {
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("a valid name");
+            self.registry.register(Box::new(gauge.clone())).expect("registered once");
+            gauge
+        };
+        let probes = "Probes written on behalf of the fleet";
+        let probes = IntCounter::new("cairncrank_fleet_probes_total", probes).expect("a valid name");
+        self.registry.register(Box::new(probes.clone())).expect("registered once");
+        let granted = "Work at cold workers granted to this member, slots by seconds";
+        let granted = Counter::new("cairncrank_fleet_cold_granted_total", granted).expect("a valid name");
+        self.registry.register(Box::new(granted.clone())).expect("registered once");
+        let dealt = "Work at cold workers granted by this member in its term, slots by seconds";
+        let dealt = Gauge::new("cairncrank_fleet_cold_dealt", dealt).expect("a valid name");
+        self.registry.register(Box::new(dealt.clone())).expect("registered once");
+        FleetMetrics {
+            granted,
+            dealt,
+            session: gauge(
+                "cairncrank_fleet_session",
+                "1 while the keepers' word holds that this is a member",
+            ),
+            owned: gauge("cairncrank_fleet_duties_owned", "Duties that this member owns"),
+            refused: gauge("cairncrank_fleet_effects_refused", "Effects of others refused since the start"),
+            watched: gauge("cairncrank_fleet_workers_watched", "Workers that this member watches for all"),
+            failing: gauge("cairncrank_fleet_workers_failing", "Workers that fail, of those watched here"),
+            against: gauge("cairncrank_fleet_workers_told_failing", "Workers that watchers' word is against"),
+            probes,
+        }
+    }
+
     /// Counts one job's end, or one attempt, of a class.
     pub fn count(&self, class: &str, outcome: Outcome) {
         self.requests.with_label_values(&[class, outcome.label()]).inc();
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -1,4 +1,5 @@
-//! Being a member of a fleet, where our own settings name keepers: the list of workers asked for by one member.
+//! Being a member of a fleet, where our own settings name keepers: the list of workers asked for by one member, and
+//! the workers watched by one each.
 //!
 //! Nothing here is on the way of a job. Without a keeper, an owner or news of it, discovery is followed as if there
 //! were no fleet.
@@ -10,6 +11,7 @@
 
 use cairncrank_duty::{DutyId, Holder, Micros};
 use cairncrank_fleet::clock;
+use cairncrank_fleet::cold::{Dealing, Warming, COLD};
 use cairncrank_fleet::effects::{receive, Publisher};
 use cairncrank_fleet::list::{Ledger, News, Reliance, LIST};
 use cairncrank_fleet::member::{Ended, Member, Settings};
@@ -20,12 +22,19 @@
 use tokio::task::spawn_local;
 use tokio::time::{interval, MissedTickBehavior};
 
+use super::cold::Colds;
+use super::console::FleetMetrics;
 use super::signal::Phase;
+use super::watchers::Watchers;
+use super::worker::Pool;
 use crate::config::Config;
+use crate::engine::micros;
 use crate::own::Fleet;
 
 /// What changed within this is told together.
-const ROUND: Duration = Duration::from_millis(50);
+pub(super) const ROUND: Duration = Duration::from_millis(50);
+/// How long a job may take from being decided on to its last byte, beside the time for a connection.
+const WRITTEN: Micros = 100_000;
 /// News that wait for the one who follows discovery, at the most.
 const NEWS: usize = 16;
 
@@ -53,30 +62,55 @@
     settings: &Fleet,
     config: &Config,
     phase: watch::Receiver<Phase>,
+    (pool, usual): (&Rc<Pool>, Rc<Cell<f64>>),
+    metrics: FleetMetrics,
 ) -> std::io::Result<(Rc<Lists>, mpsc::Receiver<News>)> {
     let listener = TcpListener::bind(settings.listen).await?;
     let address = settings.address.map_or_else(|| listener.local_addr(), Ok)?;
-    let duty = DutyId::fleet(LIST);
+    let mut offers: Vec<DutyId> = settings.list.then(|| DutyId::fleet(LIST)).into_iter().collect();
+    offers.extend(settings.cold.map(|_| DutyId::fleet(COLD)));
+    offers.extend(settings.watch.iter().flat_map(|how| how.duties()));
+    let zone = config.names.zones.get(config.settings.zone as usize).cloned().unwrap_or_default();
     let member = Settings {
         installation: settings.installation.clone(),
         name: config.name.clone(),
-        zone: String::new(),
+        zone: zone.clone(),
         address: address.to_string(),
         keepers: settings.keepers.clone(),
         bind: settings.bind,
         times: settings.times,
-        offers: settings.list.then_some(duty).into_iter().collect(),
+        offers,
         // Another number than the module's: the two draw different things.
         seed: config.seed ^ 0x000f_1ee7,
     };
-    let member = Member::new(member, Holder::new(settings.times), Recorder::default());
+    let record = settings.record.as_deref().map_or(Ok(Recorder::default()), Recorder::to)?;
+    let member = Member::new(member, Holder::new(settings.times), record);
+    member.record().put(clock::now(), "started", serde_json::json!({}));
     let (sender, news) = mpsc::channel(NEWS);
-    spawn_local(receive(member.clone(), listener, move |effect| {
-        if let Ok(news) = serde_json::from_slice::<News>(&effect.body) {
-            // The latest counts; where the queue is full, the next one says more than this.
-            let _ = sender.try_send(news);
+    let watchers = settings
+        .watch
+        .map(|how| Rc::new(Watchers::new(how, zone, member.clone(), pool.clone(), metrics.clone())));
+    watchers.iter().for_each(|watchers| drop(spawn_local(watchers.clone().rounds())));
+    let colds = settings.cold.map(|how| {
+        let both = (Dealing { written: config.dial_timeout + WRITTEN, ..how }, warming(config));
+        Rc::new(Colds::new(both, member.clone(), pool.clone(), metrics.clone(), usual, config.seed ^ 0xc01d))
+    });
+    colds.iter().for_each(|colds| drop(spawn_local(colds.clone().rounds())));
+    spawn_local(receive(member.clone(), listener, move |effect| match effect.duty.name.as_str() {
+        LIST => {
+            if let Ok(news) = serde_json::from_slice::<News>(&effect.body) {
+                // The latest counts; where the queue is full, the next one says more than this.
+                let _ = sender.try_send(news);
+            }
+            Vec::new()
+        }
+        COLD => colds.as_ref().map_or_else(Vec::new, |colds| colds.heard(&effect)),
+        _ => {
+            watchers.iter().for_each(|watchers| watchers.heard(&effect));
+            Vec::new()
         }
     }));
+    spawn_local(figures(member.clone(), metrics));
     let source = settings.source.clone().unwrap_or_else(|| config.discovery.to_string());
     let reliance = Reliance::drawn(settings.silence, settings.fallback_per_s, config.seed);
     let lists = Rc::new(Lists {
@@ -97,6 +131,17 @@
     Ok((lists, news))
 }
 
+/// What the platform says of cold workers.
+fn warming(config: &Config) -> Warming {
+    let settings = &config.settings;
+    Warming {
+        share: settings.cold_share,
+        within: micros(settings.warm_within),
+        multiple: settings.fall_multiple,
+        span: micros(settings.fall_span),
+    }
+}
+
 /// Stays a member for as long as the keepers let it.
 async fn stay(member: Member) {
     match member.run().await {
@@ -105,6 +150,21 @@
     }
 }
 
+/// Keeps the figures of the session for as long as the program runs.
+async fn figures(member: Member, metrics: FleetMetrics) {
+    let mut rounds = interval(20 * ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        rounds.tick().await;
+        let now = clock::now();
+        let holder = member.holder().borrow();
+        let counts = holder.counts();
+        metrics.session.set(i64::from(holder.session(now).is_some()));
+        metrics.owned.set(holder.owned(now).len() as i64);
+        metrics.refused.set((counts.old_tokens + counts.without_session) as i64);
+    }
+}
+
 /// Gives the duties back as soon as the program is told to end: somebody else follows discovery meanwhile.
 async fn leave(member: Member, mut phase: watch::Receiver<Phase>) {
     let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! [`Answer`](crate::engine::Answer); none of them decides anything.
 
 pub mod client;
+mod cold;
 pub mod console;
 pub mod discovery;
 mod fleet;
@@ -10,6 +11,7 @@
 pub mod inherit;
 mod probe;
 pub mod signal;
+mod watchers;
 pub mod worker;
 
 use std::mem::MaybeUninit;
@@ -83,10 +85,17 @@
     let (mode, modes) = watch::channel(console::Mode::Active);
     let (handle, inputs) = Handle::queue();
     let (commands, orders) = mpsc::unbounded_channel();
-    let engine = Engine::new(config.settings.clone(), config.seed, config.known.1.clone(), clock, commands);
+    let mut engine =
+        Engine::new(config.settings.clone(), config.seed, config.known.1.clone(), clock, commands);
     let at = config.console;
-    let fleet = match &config.fleet {
-        Some(settings) => fleet::start(settings, &config, phase.clone()).await.map(Some),
+    let (config, configs) = watch::channel(Rc::new(config));
+    let pool = worker::Pool::new(configs.clone(), clock, handle.clone(), metrics.clone());
+    let first = configs.borrow().clone();
+    let fleet = match &first.fleet {
+        Some(settings) => {
+            let own = (&pool, engine.usual_job());
+            fleet::start(settings, &first, phase.clone(), own, metrics.fleet()).await.map(Some)
+        }
         None => Ok(None),
     };
     // As with the console: the dispatcher serves without it.
@@ -94,8 +103,7 @@
         tracing::error!(%error, "cannot listen for the fleet; goes on by itself");
         None
     });
-    let (config, configs) = watch::channel(Rc::new(config));
-    let mut pool = spawn_local(worker::run(configs.clone(), clock, handle.clone(), orders, metrics.clone()));
+    let mut pool = spawn_local(worker::run(pool, orders));
     let mut engine = spawn_local(engine.run(inputs));
     let (ready, is_ready) = watch::channel(false);
     let mut follow = spawn_local(discovery::follow(configs.clone(), handle.clone(), ready, fleet));
--- a/crates/cairncrank/src/net/probe.rs
+++ b/crates/cairncrank/src/net/probe.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::http::{Decoder, Framing, Piece, MAX_BODY};
-use super::worker::{dial, Pool};
+use super::worker::{dial, Peer, Pool};
 use super::{read_more, read_response_head, write_whole};
 use crate::engine::Input;
 use cairncrank_core::api::{Load, Reports, WorkerId};
@@ -62,11 +62,9 @@
         None => dial(pool, &peer).await?,
     };
     // As with an attempt: it may have begun to drain while the connection came up.
-    let host = peer.address.get().filter(|_| peer.serves.get())?;
+    peer.address.get().filter(|_| peer.serves.get())?;
     let path = if reports { "/load" } else { "/healthz" };
-    let mut request = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n"));
-    write_whole(&mut stream, &mut request).await.ok()?;
-    let (status, body, reusable) = answer(&mut stream).await?;
+    let (status, body, reusable) = exchange(&mut stream, &peer, path, "").await?;
     let load = std::str::from_utf8(&body).ok().filter(|text| reports && !text.trim().is_empty());
     let load = load.and_then(|text| {
         let text = text.trim();
@@ -78,6 +76,39 @@
     Some((status == 200, load))
 }
 
+/// Looks at a worker on behalf of the fleet: over a connection of its own, so that a kept one that the worker has
+/// closed meanwhile is not taken for a failure. `may` is asked immediately before the write; without its yes nothing
+/// is written. None where nothing was learnt of the worker.
+pub(super) async fn look(pool: &Rc<Pool>, worker: WorkerId, may: impl FnOnce() -> bool) -> Option<bool> {
+    let peer = pool.peers.borrow().get(&worker).cloned()?;
+    if !pool.make_room() {
+        return None;
+    }
+    let patience = Duration::from_micros(pool.configs.borrow().dial_timeout) * PATIENCE;
+    let Some((mut stream, _counted, _)) = dial(pool, &peer).await else {
+        // Of a worker that began to drain meanwhile nothing is said.
+        return peer.serves.get().then_some(false);
+    };
+    if !peer.serves.get() || !may() {
+        return None;
+    }
+    let answer = timeout(patience, exchange(&mut stream, &peer, "/healthz", "Connection: close\r\n")).await;
+    Some(matches!(answer, Ok(Some((200, ..)))))
+}
+
+/// Asks for this path and reads the answer whole.
+async fn exchange(
+    stream: &mut TcpStream,
+    peer: &Peer,
+    path: &str,
+    headers: &str,
+) -> Option<(u16, BytesMut, bool)> {
+    let host = peer.address.get()?;
+    let mut request = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n{headers}\r\n"));
+    write_whole(stream, &mut request).await.ok()?;
+    answer(stream).await
+}
+
 /// Status and body of one answer, and whether the connection can be used again.
 async fn answer(stream: &mut TcpStream) -> Option<(u16, BytesMut, bool)> {
     let mut buf = BytesMut::new();
--- /dev/null
+++ b/crates/cairncrank/src/net/watchers.rs
@@ -0,0 +1,202 @@
+//! Watching workers for the fleet, where our own settings ask for it: this dispatcher probes the sets that it owns,
+//! tells all members which workers fail, and hands what it hears from other watchers to the engine as evidence.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use cairncrank_duty::{Micros, Token};
+use cairncrank_fleet::clock;
+use cairncrank_fleet::effects::Publisher;
+use cairncrank_fleet::member::Member;
+use cairncrank_fleet::watch::{Against, Flaw, Report, Rounds, Sightings, Watching, Zones};
+use cairncrank_fleet::wire::Effect;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{interval, MissedTickBehavior};
+
+use super::console::FleetMetrics;
+use super::fleet::ROUND;
+use super::probe;
+use super::worker::Pool;
+use crate::engine::Input;
+use cairncrank_core::api::WorkerId;
+
+/// One set in one term of ours.
+struct Term {
+    token: Token,
+    rounds: Rounds,
+    publisher: Publisher,
+    /// The probes that are out.
+    probes: BTreeMap<u64, AbortHandle>,
+}
+
+impl Drop for Term {
+    fn drop(&mut self) {
+        self.probes.values().for_each(AbortHandle::abort);
+    }
+}
+
+/// This dispatcher's part in watching workers.
+pub(super) struct Watchers {
+    how: Watching,
+    /// Our own zone.
+    zone: String,
+    member: Member,
+    pool: Rc<Pool>,
+    metrics: FleetMetrics,
+    terms: RefCell<BTreeMap<u16, Term>>,
+    /// What all our sets say of each zone.
+    zones: RefCell<Zones>,
+    sightings: RefCell<Sightings>,
+    /// What the engine was told is held against whom.
+    told: RefCell<BTreeMap<u64, Against>>,
+}
+
+impl Watchers {
+    pub(super) fn new(
+        how: Watching,
+        zone: String,
+        member: Member,
+        pool: Rc<Pool>,
+        metrics: FleetMetrics,
+    ) -> Watchers {
+        let sightings = RefCell::new(Sightings::new(how));
+        let (terms, told, zones) = (RefCell::default(), RefCell::default(), RefCell::default());
+        Watchers { how, zone, member, pool, metrics, terms, zones, sightings, told }
+    }
+
+    /// Another member says what it sees; its token was found good.
+    pub(super) fn heard(&self, effect: &Effect) {
+        let Some(set) = self.how.set(&effect.duty) else { return };
+        match Report::unpack(&effect.body) {
+            Some(report) => {
+                self.sightings.borrow_mut().take(set, effect.token, report, clock::now());
+                self.tell_engine();
+            }
+            None => tracing::warn!(duty = %effect.duty, "what a watcher says cannot be read"),
+        }
+    }
+
+    /// Watches for as long as the program runs.
+    pub(super) async fn rounds(self: Rc<Self>) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            rounds.tick().await;
+            self.own();
+            self.probe();
+            self.say();
+            // What lapses is taken back without anybody saying so.
+            self.tell_engine();
+        }
+    }
+
+    /// Notices which sets are ours.
+    fn own(&self) {
+        let owned: BTreeMap<u16, Token> = self
+            .member
+            .owned()
+            .into_iter()
+            .filter_map(|(duty, token)| Some((self.how.set(&duty)?, token)))
+            .collect();
+        let mut terms = self.terms.borrow_mut();
+        terms.retain(|set, term| owned.get(set) == Some(&term.token));
+        for (set, token) in owned {
+            terms.entry(set).or_insert_with(|| {
+                tracing::info!(set, token = token.0, "watches workers for the fleet");
+                let duty = cairncrank_duty::DutyId::set(&self.how.name(), set);
+                Term {
+                    token,
+                    rounds: Rounds::new(self.how, &self.zone),
+                    publisher: Publisher::new(&self.member, duty, token),
+                    probes: BTreeMap::new(),
+                }
+            });
+        }
+    }
+
+    /// Probes what is due in the sets that are ours.
+    fn probe(self: &Rc<Self>) {
+        let now = clock::now();
+        let (mut terms, configs) = (self.terms.borrow_mut(), self.pool.configs.borrow());
+        let zones = &configs.names.zones;
+        let peers = self.pool.peers.borrow();
+        let (mut watched, mut failing) = (0, 0);
+        for (set, term) in terms.iter_mut() {
+            let ours = peers.iter().filter(|(id, peer)| peer.serves.get() && self.how.set_of(id.0) == *set);
+            let zone = |at: u32| zones.get(at as usize).map_or("", String::as_str);
+            term.rounds.list(now, ours.map(|(id, peer)| (id.0, zone(peer.zone.get()))));
+            for worker in term.rounds.due(now) {
+                let task = spawn_local(self.clone().look(*set, term.token, worker));
+                term.probes.insert(worker, task.abort_handle());
+            }
+            let counts = term.rounds.counts();
+            (watched, failing) = (watched + counts.0, failing + counts.1);
+        }
+        self.metrics.owned.set(self.member.owned().len() as i64);
+        self.metrics.watched.set(watched as i64);
+        self.metrics.failing.set(failing as i64);
+    }
+
+    async fn look(self: Rc<Self>, set: u16, token: Token, worker: u64) {
+        let duty = cairncrank_duty::DutyId::set(&self.how.name(), set);
+        let may = || {
+            // The last thing before the write: a look at the lease by the clock, and the time for the next one.
+            let may = self.how.flaw == Some(Flaw::NoLook) || self.member.may_act(&duty, token);
+            if may {
+                self.with(set, token, |term| term.rounds.written(worker, clock::now()));
+                self.metrics.probes.inc();
+            }
+            may
+        };
+        let well = probe::look(&self.pool, WorkerId(worker), may).await;
+        self.with(set, token, |term| {
+            term.probes.remove(&worker);
+            term.rounds.ended(worker, well, clock::now(), &mut self.zones.borrow_mut());
+        });
+    }
+
+    /// Does something with a term that is still ours.
+    fn with(&self, set: u16, token: Token, change: impl FnOnce(&mut Term)) {
+        if let Some(term) = self.terms.borrow_mut().get_mut(&set).filter(|term| term.token == token) {
+            change(term);
+        }
+    }
+
+    /// Tells the members what is due, ourselves first.
+    fn say(&self) {
+        for (set, term) in self.terms.borrow_mut().iter_mut() {
+            let now = clock::now();
+            let Some(report) = term.rounds.report(now, &self.zones.borrow()) else { continue };
+            term.publisher.say(report.pack());
+            self.sightings.borrow_mut().take(*set, term.token, report, now);
+        }
+    }
+
+    /// Tells the engine what is held against whom, where that has changed.
+    fn tell_engine(&self) {
+        let now = clock::now();
+        let against = self.sightings.borrow().against(now);
+        let mut told = self.told.borrow_mut();
+        if *told == against {
+            return;
+        }
+        let tell = |worker: u64, ago: Micros, holds: Micros| {
+            let what = serde_json::json!({"worker": worker, "holds": holds});
+            self.member.record().put(now, "against", what);
+            self.pool.handle.tell(Input::Sighted(WorkerId(worker), ago, holds));
+        };
+        for worker in told.keys().filter(|worker| !against.contains_key(worker)) {
+            tracing::info!(worker, "no watcher holds anything against this worker any more");
+            tell(*worker, 0, 0);
+        }
+        for (worker, one) in against.iter().filter(|(worker, one)| told.get(worker) != Some(one)) {
+            if !told.contains_key(worker) {
+                tracing::info!(worker, "a watcher sees this worker fail");
+            }
+            tell(*worker, now.saturating_sub(one.seen), one.until.saturating_sub(now));
+        }
+        self.metrics.against.set(against.len() as i64);
+        *told = against;
+    }
+}
--- a/crates/cairncrank/src/net/worker.rs
+++ b/crates/cairncrank/src/net/worker.rs
@@ -53,6 +53,10 @@
 
 /// A worker as the pool knows it.
 pub(super) struct Peer {
+    /// Its zone, by its place in the settings.
+    pub(super) zone: Cell<u32>,
+    /// When it started, as discovery says.
+    pub(super) since: Cell<f64>,
     pub(super) address: Cell<Option<SocketAddr>>,
     /// It takes new work, as far as discovery told.
     pub(super) serves: Cell<bool>,
@@ -65,7 +69,9 @@
 pub(super) struct Pool {
     metrics: Rc<Metrics>,
     pub(super) configs: Configs,
-    clock: Clock,
+    pub(super) clock: Clock,
+    /// Attempts that were begun.
+    pub(super) begun: Cell<u64>,
     pub(super) handle: Handle,
     pub(super) peers: RefCell<FxHashMap<WorkerId, Rc<Peer>>>,
     /// The attempts that are out.
@@ -93,23 +99,7 @@
 }
 
 /// Carries out commands until the engine ends.
-pub async fn run(
-    configs: Configs,
-    clock: Clock,
-    handle: Handle,
-    mut commands: mpsc::UnboundedReceiver<Command>,
-    metrics: Rc<Metrics>,
-) {
-    let pool = Rc::new(Pool {
-        metrics,
-        configs,
-        clock,
-        handle,
-        peers: RefCell::default(),
-        out: RefCell::default(),
-        probes: RefCell::default(),
-        open: Cell::new(0),
-    });
+pub(super) async fn run(pool: Rc<Pool>, mut commands: mpsc::UnboundedReceiver<Command>) {
     let mut sweep = interval_at(Instant::now() + SWEEP, SWEEP);
     loop {
         tokio::select! {
@@ -124,10 +114,25 @@
 }
 
 impl Pool {
+    pub(super) fn new(configs: Configs, clock: Clock, handle: Handle, metrics: Rc<Metrics>) -> Rc<Pool> {
+        Rc::new(Pool {
+            metrics,
+            configs,
+            clock,
+            begun: Cell::default(),
+            handle,
+            peers: RefCell::default(),
+            out: RefCell::default(),
+            probes: RefCell::default(),
+            open: Cell::new(0),
+        })
+    }
+
     fn carry_out(self: &Rc<Self>, command: Command) {
         match command {
             Command::Attempt { request, attempt, worker, payload, deadline } => {
                 let peer = self.peers.borrow().get(&worker).cloned();
+                self.begun.set(self.begun.get() + 1);
                 let (pool, reach) = (self.clone(), Reach::Unconnected);
                 let end = End { pool, request, attempt, worker, reach, told: false, load: None };
                 let task = spawn_local(try_at(peer, payload, deadline, end));
@@ -161,6 +166,8 @@
         for listed in members {
             let peer = peers.entry(listed.member.worker).or_insert_with(|| {
                 Rc::new(Peer {
+                    zone: Cell::default(),
+                    since: Cell::default(),
                     address: Cell::default(),
                     serves: Cell::default(),
                     listed: Cell::default(),
@@ -171,6 +178,8 @@
                 peer.address.set(listed.address);
                 self.drop_idle(peer, |_| false);
             }
+            peer.zone.set(listed.member.zone);
+            peer.since.set(listed.member.since);
             peer.serves.set(listed.serves());
             peer.listed.set(listed.member.state != WorkerState::Gone);
         }
--- a/crates/cairncrank/src/own.rs
+++ b/crates/cairncrank/src/own.rs
@@ -11,7 +11,9 @@
 
 use cairncrank_core::api::RoomSettings;
 use cairncrank_duty::{Micros, Times};
+use cairncrank_fleet::cold::Dealing;
 use cairncrank_fleet::settings;
+use cairncrank_fleet::watch::Watching;
 use cairncrank_hcl::{Read, Section};
 
 use crate::config::ConfigError;
@@ -53,6 +55,12 @@
     pub silence: Micros,
     /// How many dispatchers of the fleet go back to asking each second.
     pub fallback_per_s: f64,
+    /// A file for records of what this member did and took on behalf of duties, a JSON object a line.
+    pub record: Option<PathBuf>,
+    /// How workers are watched by one member each, where they are.
+    pub watch: Option<Watching>,
+    /// How the budgets of cold workers are handed out by one member, where they are.
+    pub cold: Option<Dealing>,
 }
 
 /// What the file says.
@@ -119,6 +127,7 @@
     let bind = section.text("bind")?.map(|text| {
         text.parse::<IpAddr>().map_err(|_| section.fault("bind", format!("{text:?} is no IP address")))
     });
+    let times = settings::times(section)?;
     Ok(Fleet {
         installation: settings::wanted(section, "installation")?,
         listen: settings::address(section, "listen")?,
@@ -128,11 +137,14 @@
         },
         bind: bind.transpose()?,
         keepers: settings::keepers(section)?,
-        times: settings::times(section)?,
+        times,
         list: section.flag("list")?.unwrap_or(true),
         source: section.text("source")?,
         silence: section.whole("silence_ms", 1_000..=600_000)?.unwrap_or(SILENCE_MS) * 1_000,
         fallback_per_s: section.number("fallback_per_s", 0.1..=10_000.0)?.unwrap_or(FALLBACK_PER_S),
+        record: section.text("record")?.map(PathBuf::from),
+        cold: section.section("cold")?.map(|cold| settings::dealing(cold, &times)).transpose()?,
+        watch: section.section("watch")?.map(settings::watching).transpose()?,
     })
 }
 
@@ -159,6 +171,16 @@
         let fleet = Own::read("own.hcl", &format!("{head}{keepers}}}\n")).unwrap().fleet.unwrap();
         assert_eq!((fleet.keepers.len(), fleet.list, fleet.silence), (3, true, 3_000_000));
         let fault = |text: String| Own::read("own.hcl", &text).unwrap_err().to_string();
+        let watch = |inner: &str| format!("{head}{keepers}  watch {{\n{inner}  }}\n}}\n");
+        let watched = Own::read("own.hcl", &watch("    sets = 4\n")).unwrap().fleet.unwrap().watch.unwrap();
+        assert_eq!((watched.sets, watched.period, watched.holds), (4, 1_000_000, 4_000_000));
+        let lapses = fault(watch("    every_ms = 2000\n    holds_ms = 3000\n"));
+        assert!(lapses.contains("holds_ms") && lapses.contains("every_ms"), "{lapses}");
+        let cold = |inner: &str| format!("{head}{keepers}  cold {{\n{inner}  }}\n}}\n");
+        let dealt = Own::read("own.hcl", &cold("    slots = 8\n")).unwrap().fleet.unwrap().cold.unwrap();
+        assert_eq!((dealt.slots, dealt.part, dealt.expiry), (8.0, 0.5, 500_000));
+        assert!(fault(cold("")).contains("cold.slots"), "{}", fault(cold("")));
+        assert!(fault(cold("    slots = 8\n    part = 0.6\n")).contains("cold.part"));
         assert!(fault(format!("{head}}}\n")).contains("wanted three or five keepers"));
         let times = fault(format!("{head}{keepers}  times {{\n    lease_ms = 900\n  }}\n}}\n"));
         assert!(times.contains("renew_ms") && times.contains("lease_ms"), "{times}");
