Lead every link between keepers and members of the dispatchers' rig through the proxy

Change: `Together` takes a `Setup`; with `proxied` each process has a host of its own that its connections come from, and each keeper and member is known to others by a proxy. Four more faults: a dispatcher cut off from the keepers, one that hears nothing of them, one cut off from the other members, and all links slow with one connection in twenty reset.

--- a/crates/cairncrank-lab/src/fleet/joining.rs
+++ b/crates/cairncrank-lab/src/fleet/joining.rs
@@ -24,7 +24,7 @@
 
 use super::checker::{self, Records};
 use super::standin_discovery::Discovery;
-use super::together::{Binaries, Together};
+use super::together::{Binaries, Setup, Together};
 use super::waits::ask;
 use crate::sockets::http::{self, chunk, CHUNKED, LAST_CHUNK};
 
@@ -173,9 +173,13 @@
         spawn_local(work(Worker::new(false, plan.seed ^ n as u64), listener));
     }
     let block = format!("cold {{\nslots = {SLOTS}\n}}\n");
-    let members = (plan.dispatchers, Some(if plan.grants { block.as_str() } else { "" }));
-    let mut fleet =
-        Together::start(dir, binaries, settings(plan), members, std::slice::from_ref(&discovery)).await?;
+    let setup = Setup {
+        dispatchers: plan.dispatchers,
+        fleet: Some(if plan.grants { block.as_str() } else { "" }),
+        discoveries: std::slice::from_ref(&discovery),
+        proxied: None,
+    };
+    let mut fleet = Together::start(dir, binaries, settings(plan), setup).await?;
     fleet.all_know(stay + replaced).await?;
     let tally = Rc::new(RefCell::new(Vec::new()));
     let start = Instant::now();
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
+use super::proxy::{stand_before, Name, Net, Shared};
 use super::standin_discovery::Discovery;
 
 /// The programs.
@@ -45,6 +46,9 @@
     keepers: Vec<Option<Process>>,
     dispatchers: Vec<Option<Process>>,
     consoles: Vec<SocketAddr>,
+    /// The links between keepers and members, where they pass a proxy: keepers by their number, dispatchers as
+    /// [`member`].
+    pub net: Option<Shared>,
     /// Where clients reach the dispatchers.
     pub listen: Vec<SocketAddr>,
 }
@@ -53,6 +57,19 @@
     move |error| format!("{what}: {error}")
 }
 
+/// What a fleet is made of.
+#[derive(Debug, Clone, Copy)]
+pub struct Setup<'a> {
+    /// Dispatchers.
+    pub dispatchers: usize,
+    /// What is added to their block `fleet`; none where they are members of none.
+    pub fleet: Option<&'a str>,
+    /// One discovery for all, or one for each.
+    pub discoveries: &'a [Discovery],
+    /// Whether every link between keepers and members passes a proxy, drawn by this seed.
+    pub proxied: Option<u64>,
+}
+
 /// Addresses for one fleet: a host of this machine that nobody else uses, and its ports one after another. A port that
 /// was found free may be given to somebody else before it is used.
 struct Addresses(Ipv4Addr, u16);
@@ -64,20 +81,42 @@
         Addresses(Ipv4Addr::new(127, 100 + (std::process::id() % 150) as u8, next as u8, 1), 20_000)
     }
 
+    /// The host that connections of this process come from.
+    fn from(&self, name: Name) -> Ipv4Addr {
+        let [a, b, c, _] = self.0.octets();
+        Ipv4Addr::new(a, b, c, 10 + name as u8)
+    }
+
     fn next(&mut self) -> SocketAddr {
         self.1 += 1;
         SocketAddr::from((self.0, self.1))
     }
 }
 
+/// The name of a dispatcher to the proxies, after those of the keepers.
+#[must_use]
+pub fn member(dispatcher: usize) -> Name {
+    4 + dispatcher
+}
+
+/// A proxy before this address, where there are any, and where it is.
+fn before(net: Option<&Shared>, name: Name, at: SocketAddr) -> Result<SocketAddr, String> {
+    let Some(net) = net else { return Ok(at) };
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(fault("a proxy"))?;
+    listener.set_nonblocking(true).map_err(fault("a proxy"))?;
+    let door = listener.local_addr().map_err(fault("a proxy"))?;
+    let listener = TcpListener::from_std(listener).map_err(fault("a proxy"))?;
+    spawn_local(stand_before(net.clone(), listener, name, at));
+    Ok(door)
+}
+
 fn write(path: &Path, text: String) -> Result<(), String> {
     std::fs::write(path, text).map_err(fault(path.display()))
 }
 
 impl Together {
     /// Sets three keepers and some dispatchers up below a folder and starts them. `config` is a dispatcher's, without
-    /// name and addresses; `together` says whether the dispatchers are members of a fleet, and what is added to their
-    /// block `fleet`. All ask one discovery, or each its own.
+    /// name and addresses.
     ///
     /// # Errors
     /// Something cannot be set up.
@@ -85,9 +124,9 @@
         dir: &Path,
         binaries: Binaries,
         mut config: Value,
-        (dispatchers, together): (usize, Option<&str>),
-        discoveries: &[Discovery],
+        setup: Setup<'_>,
     ) -> Result<Together, String> {
+        let Setup { dispatchers, fleet: together, discoveries, proxied } = setup;
         let (mut addresses, mut at) = (Addresses::new(), Vec::new());
         for discovery in discoveries {
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault("discovery"))?;
@@ -98,11 +137,20 @@
         let doors: Vec<SocketAddr> = (0..3).map(|_| addresses.next()).collect();
         let block =
             |(n, at): (usize, &SocketAddr)| format!("keeper \"{}\" {{\n  address = \"{at}\"\n}}\n", n + 1);
-        let keepers: String = doors.iter().enumerate().map(block).collect();
+        let names = (1..=3).chain((0..dispatchers).map(member));
+        let names = names.map(|name| (addresses.from(name).into(), name)).collect();
+        let net = proxied.map(|seed| Net::new(names, seed));
+        // What others are told of an address: the proxy before it, where there is one.
+        let seen: Result<Vec<SocketAddr>, String> =
+            (1..).zip(&doors).map(|(name, at)| before(net.as_ref(), name, *at)).collect();
+        let seen = seen?;
+        let keepers: String = seen.iter().enumerate().map(block).collect();
         for n in 1..=3 {
             let serve = format!(
-                "serve {{\n  keeper = {n}\n  store = \"{}\"\n}}\n",
-                dir.join(format!("k{n}")).display()
+                "serve {{\n  keeper = {n}\n  store = \"{}\"\n  listen = \"{}\"\n  bind = \"{}\"\n}}\n",
+                dir.join(format!("k{n}")).display(),
+                doors[n - 1],
+                addresses.from(n),
             );
             let file = dir.join(format!("k{n}.hcl"));
             write(&file, format!("installation = \"test\"\n{keepers}{serve}"))?;
@@ -127,9 +175,12 @@
             config["settings"]["zone"] = (n % zones).into();
             config["seed"] = format!("{:016x}", n + 1).into();
             write(&dir.join(format!("d{n}.json")), config.to_string())?;
+            let at = addresses.next();
             let fleet = format!(
-                "fleet {{\ninstallation = \"test\"\nlisten = \"{}\"\nrecord = \"{}\"\n{keepers}{}}}\n",
-                addresses.next(),
+                "fleet {{\ninstallation = \"test\"\nlisten = \"{at}\"\naddress = \"{}\"\nbind = \"{}\"\n\
+                 record = \"{}\"\n{keepers}{}}}\n",
+                before(net.as_ref(), member(n), at)?,
+                addresses.from(member(n)),
                 dir.join(format!("d{n}.jsonl")).display(),
                 together.unwrap_or_default(),
             );
@@ -142,6 +193,7 @@
             keepers: (0..3).map(|_| None).collect(),
             dispatchers: (0..dispatchers).map(|_| None).collect(),
             consoles,
+            net,
             listen,
         };
         if together.is_some() {
--- a/crates/cairncrank-lab/src/fleet/waits.rs
+++ b/crates/cairncrank-lab/src/fleet/waits.rs
@@ -18,7 +18,7 @@
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 use super::standin_discovery::Discovery;
-use super::together::{Binaries, Together};
+use super::together::{Binaries, Setup, Together};
 use crate::sockets::http::{self, chunk, CHUNKED, LAST_CHUNK};
 
 const DISPATCHERS: usize = 2;
@@ -115,14 +115,13 @@
         discovery.add(worker, listener.local_addr().map_err(io)?);
         spawn_local(work(listener));
     }
-    let mut fleet = Together::start(
-        dir,
-        binaries,
-        settings(),
-        (DISPATCHERS, (arm != Arm::Off).then_some("")),
-        &[discovery],
-    )
-    .await?;
+    let setup = Setup {
+        dispatchers: DISPATCHERS,
+        fleet: (arm != Arm::Off).then_some(""),
+        discoveries: &[discovery],
+        proxied: None,
+    };
+    let mut fleet = Together::start(dir, binaries, settings(), setup).await?;
     fleet.all_know(WORKERS).await?;
     if arm != Arm::Off {
         fleet.watches(1).await?;
--- a/crates/cairncrank-lab/src/fleet/watching.rs
+++ b/crates/cairncrank-lab/src/fleet/watching.rs
@@ -34,7 +34,7 @@
 use super::checker::{self, Records};
 use super::proxy::{stand_before, Net, Shared};
 use super::standin_discovery::Discovery;
-use super::together::{Binaries, Together};
+use super::together::{member, Binaries, Setup, Together};
 use super::waits::ask;
 use crate::sockets::http::{self, chunk, CHUNKED, LAST_CHUNK};
 
@@ -118,6 +118,14 @@
     Hang,
     /// The keepers' leader is killed and started again.
     KillLeader,
+    /// A dispatcher reaches no keeper, and is not reached by them.
+    CutKeepers,
+    /// A dispatcher reaches the keepers and hears nothing of them.
+    HearsNoKeeper,
+    /// A dispatcher and the others do not reach each other; the keepers they do.
+    CutMembers,
+    /// Every link between members and keepers is 50 ms slower each way, and one connection in twenty is reset.
+    SlowNet,
 }
 
 /// One fault as it was done, by the clock of the records.
@@ -215,8 +223,13 @@
         plan.flaw.as_ref().map_or(String::new(), |flaw| format!("flaw = \"{flaw}\"\n"))
     );
     let block = if plan.watch { block } else { "list = false\n".to_owned() };
-    let members = (plan.dispatchers, Some(block.as_str()));
-    let mut fleet = Together::start(dir, binaries, settings(plan), members, &discoveries).await?;
+    let setup = Setup {
+        dispatchers: plan.dispatchers,
+        fleet: Some(&block),
+        discoveries: &discoveries,
+        proxied: Some(plan.seed),
+    };
+    let mut fleet = Together::start(dir, binaries, settings(plan), setup).await?;
     fleet.all_know(plan.workers).await?;
     let start = Instant::now();
     let end = start + plan.length;
@@ -272,7 +285,18 @@
 ) -> Result<Vec<Done>, String> {
     let mut random = Pcg64::seed_from_u64(plan.seed);
     let mut done = Vec::new();
-    let kinds = [Fault::Kill, Fault::Stop, Fault::End, Fault::CutZone, Fault::Hang, Fault::KillLeader];
+    let kinds = [
+        Fault::Kill,
+        Fault::Stop,
+        Fault::End,
+        Fault::CutZone,
+        Fault::Hang,
+        Fault::KillLeader,
+        Fault::CutKeepers,
+        Fault::HearsNoKeeper,
+        Fault::CutMembers,
+        Fault::SlowNet,
+    ];
     // What is healed takes effect before the end.
     while Instant::now() + plan.every.max(Duration::from_secs(8)) < end {
         let next = Instant::now() + plan.every;
@@ -286,7 +310,8 @@
         let longest = plan.every.as_secs_f64() * 0.9;
         let lasts = Duration::from_secs_f64(match fault {
             Fault::Kill | Fault::End => random.random_range(0.1..longest.min(4.0)),
-            Fault::Hang | Fault::CutZone => longest,
+            Fault::Hang | Fault::CutZone | Fault::SlowNet => longest,
+            Fault::CutKeepers | Fault::HearsNoKeeper | Fault::CutMembers => longest,
             Fault::Stop => random.random_range(0.2..longest),
             Fault::KillLeader => 1.0,
         });
@@ -302,6 +327,9 @@
                 hurt = fleet.leader();
                 fleet.kill_keeper(hurt);
             }
+            Fault::CutKeepers | Fault::HearsNoKeeper | Fault::CutMembers | Fault::SlowNet => {
+                trouble(fleet, plan, fault, at);
+            }
         }
         sleep(lasts).await;
         match fault {
@@ -314,6 +342,9 @@
             Fault::Hang => notes.borrow_mut().hung[at] = false,
             Fault::CutZone => cut(&nets[at], plan.workers, zone, false),
             Fault::KillLeader => fleet.start_keeper(hurt)?,
+            Fault::CutKeepers | Fault::HearsNoKeeper | Fault::CutMembers | Fault::SlowNet => {
+                fleet.net.iter().for_each(|net| net.borrow_mut().heal());
+            }
         }
         done.push(Done { fault, at: hurt, zone, from, until: clock::now() });
         sleep_until(next).await;
@@ -321,6 +352,32 @@
     Ok(done)
 }
 
+/// Begins a trouble of the links between members and keepers.
+fn trouble(fleet: &Together, plan: &Plan, fault: Fault, at: usize) {
+    let Some(net) = &fleet.net else { return };
+    let mut net = net.borrow_mut();
+    let members = (0..plan.dispatchers).map(member);
+    let all: Vec<usize> = (1..=3).chain(members).collect();
+    for (from, to) in all.iter().flat_map(|from| all.iter().map(move |to| (*from, *to))) {
+        let (of, other) = (from == member(at), to == member(at));
+        let keeper = |name: usize| name <= 3;
+        let hit = match fault {
+            Fault::CutKeepers => (of && keeper(to)) || (other && keeper(from)),
+            Fault::HearsNoKeeper => other && keeper(from),
+            Fault::CutMembers => (of && !keeper(to)) || (other && !keeper(from)),
+            _ => false,
+        };
+        if hit {
+            net.set(from, to, |trouble| trouble.cut = true);
+        }
+        if fault == Fault::SlowNet {
+            net.set(from, to, |trouble| {
+                (trouble.delay, trouble.resets) = (Duration::from_millis(50), 0.05);
+            });
+        }
+    }
+}
+
 /// The worker that got the most jobs in the last two seconds, or this one where none got any.
 fn busiest(notes: &Notes, else_this: usize) -> usize {
     let since = clock::now().saturating_sub(2_000_000);
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cairncrank_lab::fleet::standin_discovery::Discovery;
-use cairncrank_lab::fleet::together::{Binaries, Together};
+use cairncrank_lab::fleet::together::{Binaries, Setup, Together};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, Instant};
 
@@ -27,10 +27,13 @@
     let config = serde_json::from_slice(&std::fs::read(toy).unwrap()).unwrap();
     let binaries = Binaries { dispatcher: built("cairncrank"), keeper: built("cairncrank-keeper") };
     let discovery = Discovery::new(WORKERS);
-    let fleet =
-        Together::start(dir.path(), binaries, config, (DISPATCHERS, together.then_some("")), &[discovery])
-            .await
-            .unwrap();
+    let setup = Setup {
+        dispatchers: DISPATCHERS,
+        fleet: together.then_some(""),
+        discoveries: &[discovery],
+        proxied: None,
+    };
+    let fleet = Together::start(dir.path(), binaries, config, setup).await.unwrap();
     fleet.all_know(WORKERS).await.unwrap();
     fleet.watches(if together { 1 } else { DISPATCHERS as u64 }).await.unwrap();
     (dir, fleet)
