--- a/crates/cairncrank-duty/src/command.rs
+++ b/crates/cairncrank-duty/src/command.rs
@@ -5,7 +5,7 @@
 use crate::{DutyId, Revision, SessionId, Token};
 
 /// The version that this program writes. An entry of a higher one stops the keeper: it may not be skipped.
-pub const COMMAND_VERSION: u16 = 1;
+pub const COMMAND_VERSION: u16 = 2;
 
 /// A change of the state, as agreed on.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -69,6 +69,20 @@
         /// How often its disk was started.
         boots: u64,
     },
+    /// A keeper is to be replaced by a new one. Since version 2.
+    ReplaceKeeper {
+        /// The one that goes.
+        old: u64,
+        /// The one that comes; its number was never used.
+        new: u64,
+        /// Where the new one is reached.
+        address: String,
+    },
+    /// The new keeper votes and the old one does not. Since version 2.
+    KeeperReplaced {
+        /// The one that went.
+        old: u64,
+    },
 }
 
 /// An entry that this program cannot apply.
@@ -98,7 +112,15 @@
 impl Command {
     /// The bytes for the log: the version, then the command.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(COMMAND_VERSION, self)).unwrap_or_default()
+        postcard::to_stdvec(&(self.version(), self)).unwrap_or_default()
+    }
+
+    /// The first version that knows it: keepers of the version before read on until something new is agreed on.
+    fn version(&self) -> u16 {
+        match self {
+            Command::ReplaceKeeper { .. } | Command::KeeperReplaced { .. } => 2,
+            _ => 1,
+        }
     }
 
     /// Reads an entry.
--- a/crates/cairncrank-duty/src/lib.rs
+++ b/crates/cairncrank-duty/src/lib.rs
@@ -25,7 +25,9 @@
 
 pub use command::{Command, CommandFault, COMMAND_VERSION};
 pub use holder::{Flaw, Holder, HolderCounts, Refusal, Session as HeldSession};
-pub use machine::{Duty, Outcome, Owner, Reason, Seat, Session, SnapshotFault, State, View, LIMITS};
+pub use machine::{
+    Duty, Outcome, Owner, Reason, Replacing, Seat, Session, SnapshotFault, State, View, LIMITS,
+};
 pub use times::{Times, TimesFault};
 pub use warden::Warden;
 
--- a/crates/cairncrank-duty/src/machine.rs
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -1,6 +1,8 @@
 //! The replicated state: sessions, names, duties, tokens. The same entries give the same state on every keeper.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use std::borrow::Cow;
 
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +14,7 @@
 /// How many processes of one name are remembered, so that an old one is known when it comes again.
 const OLD_BOOTS: usize = 8;
 /// The version of the snapshot.
-const SNAPSHOT_VERSION: u16 = 1;
+const SNAPSHOT_VERSION: u16 = 2;
 
 /// A member that is there.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -78,6 +80,39 @@
     names: BTreeMap<String, Name>,
     duties: BTreeMap<DutyId, Duty>,
     keepers: BTreeMap<u64, u64>,
+    changes: Changes,
+}
+
+/// What is agreed on of keepers that came later, since version 2.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Changes {
+    /// Where those are that came later.
+    addresses: BTreeMap<u64, String>,
+    replacing: Option<Replacing>,
+    /// Numbers that are not used again.
+    gone: BTreeSet<u64>,
+}
+
+/// A replacement of a keeper that is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Replacing {
+    /// The one that goes.
+    pub old: u64,
+    /// The one that comes.
+    pub new: u64,
+}
+
+/// The state as version 1 wrote it, and as it is still written where nothing of version 2 is in it.
+#[derive(Deserialize, Serialize)]
+struct Before<'a> {
+    revision: Revision,
+    seats_revision: Revision,
+    roster_revision: Revision,
+    next_token: u64,
+    sessions: Cow<'a, BTreeMap<SessionId, Session>>,
+    names: Cow<'a, BTreeMap<String, Name>>,
+    duties: Cow<'a, BTreeMap<DutyId, Duty>>,
+    keepers: Cow<'a, BTreeMap<u64, u64>>,
 }
 
 /// What became of a command.
@@ -120,6 +155,8 @@
         /// How many.
         boots: u64,
     },
+    /// A keeper cannot be replaced so.
+    Keepers(String),
 }
 
 impl std::fmt::Display for Reason {
@@ -132,6 +169,7 @@
             Reason::NotFree => write!(f, "the duty is not free"),
             Reason::NotTheOwner => write!(f, "that term is over"),
             Reason::Full(what) => write!(f, "no room: {what}"),
+            Reason::Keepers(why) => write!(f, "{why}"),
             Reason::OldDisk { boots } => write!(f, "this disk was seen with {boots} starts already"),
         }
     }
@@ -181,6 +219,7 @@
             names: BTreeMap::new(),
             duties: BTreeMap::new(),
             keepers: BTreeMap::new(),
+            changes: Changes::default(),
         }
     }
 
@@ -219,6 +258,16 @@
         &self.keepers
     }
 
+    /// Where those keepers are that came later than the installation was set up.
+    pub fn added(&self) -> &BTreeMap<u64, String> {
+        &self.changes.addresses
+    }
+
+    /// The replacement that is on its way.
+    pub fn replacing(&self) -> Option<Replacing> {
+        self.changes.replacing
+    }
+
     /// How many short lives in a row a member of this name had.
     pub fn short_lives(&self, name: &str) -> u8 {
         self.names.get(name).map_or(0, |name| name.short_lives)
@@ -288,9 +337,44 @@
                 *seen = *boots;
                 Outcome::Noted
             }
+            Command::ReplaceKeeper { old, new, address } => self.replace(*old, *new, address),
+            Command::KeeperReplaced { old } => {
+                if self.changes.replacing.is_some_and(|replacing| replacing.old == *old) {
+                    self.changes.replacing = None;
+                    self.changes.addresses.remove(old);
+                    self.changes.gone.insert(*old);
+                }
+                Outcome::Noted
+            }
         }
     }
 
+    fn replace(&mut self, old: u64, new: u64, address: &str) -> Outcome {
+        let wanted = Replacing { old, new };
+        let refused = |why: String| Outcome::Refused(Reason::Keepers(why));
+        match self.changes.replacing {
+            // Asked again by an operator who did not hear the answer.
+            Some(going) if going == wanted => return Outcome::Noted,
+            Some(going) => {
+                return refused(format!("keeper {} is being replaced by {} still", going.old, going.new))
+            }
+            None => {}
+        }
+        let used = self.keepers.contains_key(&new) || self.changes.gone.contains(&new);
+        if old == new || used || self.changes.addresses.contains_key(&new) {
+            return refused(format!("number {new} was used already; a new keeper has a new number"));
+        }
+        if self.changes.gone.contains(&old) {
+            return refused(format!("keeper {old} was replaced already"));
+        }
+        if address.is_empty() || address.len() > LIMITS.3 {
+            return Outcome::Refused(Reason::Full(format!("an address is empty or over {} bytes", LIMITS.3)));
+        }
+        self.changes.addresses.insert(new, address.to_owned());
+        self.changes.replacing = Some(wanted);
+        Outcome::Noted
+    }
+
     fn join(
         &mut self,
         index: Revision,
@@ -422,7 +506,20 @@
 
     /// The bytes of a snapshot: its version, then all.
     pub fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(SNAPSHOT_VERSION, self)).unwrap_or_default()
+        if self.changes != Changes::default() {
+            return postcard::to_stdvec(&(SNAPSHOT_VERSION, self)).unwrap_or_default();
+        }
+        let before = Before {
+            revision: self.revision,
+            seats_revision: self.seats_revision,
+            roster_revision: self.roster_revision,
+            next_token: self.next_token,
+            sessions: Cow::Borrowed(&self.sessions),
+            names: Cow::Borrowed(&self.names),
+            duties: Cow::Borrowed(&self.duties),
+            keepers: Cow::Borrowed(&self.keepers),
+        };
+        postcard::to_stdvec(&(1u16, before)).unwrap_or_default()
     }
 
     /// Reads a snapshot.
@@ -431,6 +528,20 @@
         let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(fault)?;
         match version {
             SNAPSHOT_VERSION => postcard::from_bytes(rest).map_err(fault),
+            1 => {
+                let before: Before<'_> = postcard::from_bytes(rest).map_err(fault)?;
+                Ok(State {
+                    revision: before.revision,
+                    seats_revision: before.seats_revision,
+                    roster_revision: before.roster_revision,
+                    next_token: before.next_token,
+                    sessions: before.sessions.into_owned(),
+                    names: before.names.into_owned(),
+                    duties: before.duties.into_owned(),
+                    keepers: before.keepers.into_owned(),
+                    changes: Changes::default(),
+                })
+            }
             _ => {
                 Err(SnapshotFault(format!("it has version {version}, this keeper knows {SNAPSHOT_VERSION}")))
             }
--- a/crates/cairncrank-duty/tests/agreement.rs
+++ b/crates/cairncrank-duty/tests/agreement.rs
@@ -277,11 +277,24 @@
     let command = Command::Leave { session: a, short: true };
     assert_eq!(Command::decode(&command.encode()), Ok(command.clone()));
     let mut later = command.encode();
-    later[0] = 2;
-    assert_eq!(Command::decode(&later), Err(CommandFault::Later(2)));
+    later[0] = 3;
+    assert_eq!(Command::decode(&later), Err(CommandFault::Later(3)));
     let mut long = command.encode();
     long.push(0);
     assert!(matches!(Command::decode(&long), Err(CommandFault::Malformed(_))));
+    // What keepers of the version before read is written as they wrote it, until something new is agreed on.
+    assert_eq!((command.encode()[0], fleet.state.snapshot()[0]), (1, 1));
+    let replace = Command::ReplaceKeeper { old: 3, new: 4, address: "127.0.0.1:1".into() };
+    assert_eq!(replace.encode()[0], 2);
+    assert_eq!(fleet.apply(SECOND, &replace), Outcome::Noted);
+    assert_eq!(fleet.apply(SECOND, &replace), Outcome::Noted, "asked again");
+    let other = Command::ReplaceKeeper { old: 2, new: 5, address: "127.0.0.1:1".into() };
+    assert!(matches!(fleet.apply(SECOND, &other), Outcome::Refused(Reason::Keepers(_))), "one at a time");
+    assert_eq!(fleet.apply(SECOND, &Command::KeeperReplaced { old: 3 }), Outcome::Noted);
+    let back = Command::ReplaceKeeper { old: 4, new: 3, address: "127.0.0.1:1".into() };
+    assert!(matches!(fleet.apply(SECOND, &back), Outcome::Refused(Reason::Keepers(_))), "a number of old");
+    assert_eq!(fleet.state.snapshot()[0], 2);
+    assert_eq!(State::restore(&fleet.state.snapshot()), Ok(fleet.state.clone()));
     let mut snapshot = fleet.state.snapshot();
     snapshot[0] = 7;
     assert!(State::restore(&snapshot).unwrap_err().to_string().contains("version 7"));
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -68,8 +68,8 @@
 
 /// What became of a connection to a keeper.
 enum Next {
-    /// Another keeper, this one if it is known.
-    Elsewhere(Option<u64>),
+    /// Another keeper, this one if it is known, with where it is if that was said.
+    Elsewhere(Option<(u64, Option<SocketAddr>)>),
     End(Ended),
 }
 
@@ -144,7 +144,9 @@
         let mut random = fastrand::Rng::with_seed(self.settings.seed);
         // Not from the seed: the next process of this name may well be given the same, and would pass for this one.
         let boot = clock::unique();
-        let numbers: Vec<u64> = self.settings.keepers.keys().copied().collect();
+        // Those that are configured, and those that came later and lead.
+        let mut keepers = self.settings.keepers.clone();
+        let mut numbers: Vec<u64> = keepers.keys().copied().collect();
         let mut at = random.usize(..numbers.len().max(1));
         let mut failures = 0u32;
         // One wait over all attempts: keepers that refuse at once would begin it anew each time.
@@ -156,7 +158,7 @@
             };
             let started = Instant::now();
             let next = tokio::select! {
-                next = self.with_keeper(keeper, boot) => next,
+                next = self.with_keeper((keeper, keepers.get(&keeper).copied()), boot) => next,
                 () = &mut given_up => Ok(Next::End(Ended::Left)),
             };
             self.changed.send_modify(|count| *count += 1);
@@ -174,6 +176,12 @@
                     None
                 }
             };
+            if let Some((leader, Some(address))) = next {
+                if keepers.insert(leader, address).is_none() {
+                    numbers.push(leader);
+                }
+            }
+            let next = next.map(|(leader, _)| leader);
             match next.and_then(|leader| numbers.iter().position(|number| *number == leader)) {
                 Some(leader) if numbers[leader] != keeper => at = leader,
                 _ => at += 1,
@@ -198,12 +206,12 @@
         Hello { schema: SCHEMA, installation: self.settings.installation.clone(), who }
     }
 
-    async fn with_keeper(&self, keeper: u64, boot: u64) -> io::Result<Next> {
+    async fn with_keeper(&self, (keeper, address): (u64, Option<SocketAddr>), boot: u64) -> io::Result<Next> {
         let settings = &self.settings;
-        let Some(address) = settings.keepers.get(&keeper) else { return Ok(Next::Elsewhere(None)) };
+        let Some(address) = address else { return Ok(Next::Elsewhere(None)) };
         let call = Duration::from_micros(settings.times.call);
         let hello = self.hello();
-        let connecting = tokio::time::timeout(call, Link::connect(*address, settings.bind, &hello));
+        let connecting = tokio::time::timeout(call, Link::connect(address, settings.bind, &hello));
         let mut link = match connecting.await? {
             Ok((link, _)) => link,
             Err(error) => match turned_away(&error) {
@@ -320,7 +328,10 @@
                     *self.roster.borrow_mut() = roster;
                 }
             }
-            Answer::NotLeading { leader } => return Some(Next::Elsewhere(leader)),
+            Answer::NotLeading { leader, address } => {
+                let address = address.and_then(|address| address.parse().ok());
+                return Some(Next::Elsewhere(leader.map(|leader| (leader, address))));
+            }
             Answer::Refused(Reason::Superseded { incarnation }) => {
                 tracing::error!(
                     incarnation,
--- a/crates/cairncrank-fleet/src/wire.rs
+++ b/crates/cairncrank-fleet/src/wire.rs
@@ -174,6 +174,15 @@
     },
     /// How things are.
     Status,
+    /// A keeper is to be replaced by a new one.
+    Replace {
+        /// The one that goes.
+        old: u64,
+        /// The one that comes.
+        new: u64,
+        /// Where the new one is reached.
+        address: String,
+    },
 }
 
 /// What a keeper says.
@@ -210,6 +219,8 @@
     NotLeading {
         /// Its number.
         leader: Option<u64>,
+        /// Where it is reached, if it came after the installation was set up: a member may not know of it.
+        address: Option<String>,
     },
     /// Not now: ask again.
     Busy,
@@ -261,6 +272,12 @@
     pub duties: Vec<DutyStatus>,
     /// The keepers, and how often each one's disk was started.
     pub keepers: Vec<(u64, u64)>,
+    /// Those that vote; while one is replaced, of both configurations.
+    pub voters: Vec<u64>,
+    /// Those that learn and do not vote yet.
+    pub learners: Vec<u64>,
+    /// Who is being replaced by whom.
+    pub replacing: Option<(u64, u64)>,
 }
 
 /// A member as a keeper sees it.
--- a/crates/cairncrank-keeper/src/ctl.rs
+++ b/crates/cairncrank-keeper/src/ctl.rs
@@ -73,6 +73,35 @@
     })
 }
 
+/// Replaces a keeper by a new one that was started with an empty store, and waits until that is done.
+///
+/// # Errors
+/// Nobody leads, it is refused, or it is not done within a minute; it goes on then, and may be asked for again.
+pub async fn replace(config: &Config, old: u64, new: u64, address: String) -> Result<(), String> {
+    let until = tokio::time::Instant::now() + Duration::from_secs(60);
+    let mut why = String::new();
+    let mut asked = false;
+    while tokio::time::Instant::now() < until {
+        match leading(config).await {
+            Ok(leader) if leader.voters.contains(&new) && !leader.voters.contains(&old) => return Ok(()),
+            Ok(leader) if asked => {
+                why = format!("it goes on: {:?} vote, {:?} learn", leader.voters, leader.learners)
+            }
+            Ok(leader) => {
+                let wanted = Ask::Replace { old, new, address: address.clone() };
+                match ask(config, leader.keeper, wanted).await? {
+                    Answer::Done => asked = true,
+                    Answer::Refused(reason) => return Err(reason.to_string()),
+                    other => why = format!("{other:?}"),
+                }
+            }
+            Err(error) => why = error,
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    Err(format!("keeper {old} is not replaced after a minute: {why}"))
+}
+
 /// Ends the running term of a duty; another member gets it.
 ///
 /// # Errors
--- a/crates/cairncrank-keeper/src/disk.rs
+++ b/crates/cairncrank-keeper/src/disk.rs
@@ -87,10 +87,6 @@
     first_token: u64,
     disk: u64,
 ) -> Result<(), Stop> {
-    if folder.join(FILE).exists() {
-        return Err(Stop::Disk(format!("{}: there is a store already; it is left alone", folder.display())));
-    }
-    fault_from!(std::fs::create_dir_all(folder));
     let mut state = State::new(first_token);
     state.skip(1);
     let mut snapshot = Snapshot::default();
@@ -98,13 +94,38 @@
     snapshot.mut_metadata().term = 1;
     snapshot.mut_metadata().set_conf_state(ConfState::from((voters.to_vec(), Vec::new())));
     snapshot.set_data(state.snapshot().into());
+    set_up(folder, installation, keeper, disk, &snapshot)
+}
+
+/// Sets up the store of a keeper that is to take another's place: it knows nothing, votes for nobody, and learns all
+/// from the others once they have agreed to take it.
+///
+/// # Errors
+/// There is a store already, or it cannot be written.
+pub fn bootstrap_joining(folder: &Path, installation: &str, keeper: u64, disk: u64) -> Result<(), Stop> {
+    let mut snapshot = Snapshot::default();
+    snapshot.set_data(State::new(1).snapshot().into());
+    set_up(folder, installation, keeper, disk, &snapshot)
+}
+
+fn set_up(
+    folder: &Path,
+    installation: &str,
+    keeper: u64,
+    disk: u64,
+    snapshot: &Snapshot,
+) -> Result<(), Stop> {
+    if folder.join(FILE).exists() {
+        return Err(Stop::Disk(format!("{}: there is a store already; it is left alone", folder.display())));
+    }
+    fault_from!(std::fs::create_dir_all(folder));
     // The file gets its name only when all is in it: a bootstrap that was cut short leaves no store.
     let half = folder.join("keeper.new");
     let _ = std::fs::remove_file(&half);
     let store = Disk { database: fault_from!(Database::create(&half)) };
     let label = Label { format: FORMAT, installation: installation.to_owned(), keeper, disk, boots: 0 };
     store.set_label(&label)?;
-    store.write(&Batch { snapshot: Some((&snapshot, 0)), ..Batch::default() })?;
+    store.write(&Batch { snapshot: Some((snapshot, 0)), ..Batch::default() })?;
     drop(store);
     fault_from!(std::fs::rename(&half, folder.join(FILE)));
     fault_from!(std::fs::File::open(folder).and_then(|folder| folder.sync_all()));
--- a/crates/cairncrank-keeper/src/lib.rs
+++ b/crates/cairncrank-keeper/src/lib.rs
@@ -20,6 +20,8 @@
     OldDisk(String),
     /// Raft refused to go on.
     Raft(String),
+    /// Another keeper has taken this one's place.
+    Replaced(String),
     /// The address cannot be listened at, or another fault at the start.
     Start(String),
 }
@@ -33,14 +35,19 @@
             Stop::Disk(_) => 4,
             Stop::Later(_) => 5,
             Stop::Raft(_) => 6,
+            Stop::Replaced(_) => 7,
         }
     }
 }
 
 impl std::fmt::Display for Stop {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let (Stop::Disk(why) | Stop::Later(why) | Stop::OldDisk(why) | Stop::Raft(why) | Stop::Start(why)) =
-            self;
+        let (Stop::Disk(why)
+        | Stop::Later(why)
+        | Stop::OldDisk(why)
+        | Stop::Raft(why)
+        | Stop::Replaced(why)
+        | Stop::Start(why)) = self;
         f.write_str(why)
     }
 }
--- a/crates/cairncrank-keeper/src/main.rs
+++ b/crates/cairncrank-keeper/src/main.rs
@@ -19,16 +19,18 @@
   members         the members that have a session
   duties          who owns what, with which token
   release-duty    ends the running term of --duty NAME (with --token N only that one); another member gets it
+  replace         --keeper NUMBER --with NEW --address IP:PORT: a new keeper takes the place of one that is gone or goes
   metrics         the figures of this keeper, for Prometheus, as text
   check-config    reads the configuration and says what is wrong with it
 
   --config FILE   the configuration, HCL
+  --joining       with bootstrap: this keeper takes another's place in an installation that runs
   --record FILE   with serve: appends what was applied, a JSON object a line
   --log LEVEL     error, warn, info (the default), debug or trace
   --json          with status, members and duties: JSON
 
 Exit codes: 0 done, 1 fault, 2 bad usage, 3 the disk is an old copy or another's, 4 the store cannot be used,
-5 something was agreed on that this version does not know, 6 raft refused to go on.
+5 something was agreed on that this version does not know, 6 raft refused to go on, 7 replaced by another.
 ";
 
 struct Args {
@@ -37,6 +39,10 @@
     record: Option<PathBuf>,
     duty: Option<DutyId>,
     token: Option<Token>,
+    keeper: Option<u64>,
+    with: Option<u64>,
+    address: Option<String>,
+    joining: bool,
     level: tracing::Level,
     json: bool,
 }
@@ -49,6 +55,10 @@
         record: None,
         duty: None,
         token: None,
+        keeper: None,
+        with: None,
+        address: None,
+        joining: false,
         level: tracing::Level::INFO,
         json: false,
     };
@@ -59,6 +69,10 @@
             Long("record") => args.record = Some(parser.value()?.into()),
             Long("duty") => args.duty = Some(parser.value()?.parse()?),
             Long("token") => args.token = Some(Token(parser.value()?.parse()?)),
+            Long("keeper") => args.keeper = Some(parser.value()?.parse()?),
+            Long("with") => args.with = Some(parser.value()?.parse()?),
+            Long("address") => args.address = Some(parser.value()?.string()?),
+            Long("joining") => args.joining = true,
             Long("log") => args.level = parser.value()?.parse()?,
             Long("json") => args.json = true,
             Short('h') | Long("help") => args.command = "help".to_owned(),
@@ -86,7 +100,7 @@
             println!("cairncrank-keeper {}", env!("CARGO_PKG_VERSION"));
             return ExitCode::SUCCESS;
         }
-        "bootstrap" | "serve" | "status" | "members" | "duties" | "release-duty" | "metrics"
+        "bootstrap" | "serve" | "status" | "members" | "duties" | "release-duty" | "replace" | "metrics"
         | "check-config" => {}
         other => {
             eprintln!("cairncrank-keeper: {other:?} is no command\n\n{HELP}");
@@ -134,6 +148,14 @@
             let here = here(config)?;
             let voters: Vec<u64> = config.keepers.keys().copied().collect();
             let disk = cairncrank_fleet::clock::unique();
+            if args.joining {
+                disk::bootstrap_joining(&here.store, &config.installation, here.keeper, disk)?;
+                return Ok(format!(
+                    "{}: the store of keeper {}, which is to join\n",
+                    here.store.display(),
+                    here.keeper
+                ));
+            }
             disk::bootstrap(
                 &here.store,
                 &config.installation,
@@ -203,6 +225,17 @@
             let duty = args.duty.clone().ok_or_else(|| Stop::Start("--duty is missing".to_owned()))?;
             ctl::release(config, duty, args.token).await.map(|()| String::new()).map_err(Stop::Start)
         }
+        "replace" => {
+            let missing = |key: &str| Stop::Start(format!("--{key} is missing"));
+            let (old, new) =
+                (args.keeper.ok_or_else(|| missing("keeper"))?, args.with.ok_or_else(|| missing("with"))?);
+            let address = args.address.clone().ok_or_else(|| missing("address"))?;
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                return Err(Stop::Start(format!("--address: {address:?} is no address; wanted IP:PORT")));
+            }
+            ctl::replace(config, old, new, address).await.map_err(Stop::Start)?;
+            Ok(format!("keeper {new} has taken the place of keeper {old}\n"))
+        }
         "metrics" => {
             let status = ctl::status(config, here(config)?.keeper).await;
             Ok(ctl::figures(&status.map_err(Stop::Start)?))
--- a/crates/cairncrank-keeper/src/node.rs
+++ b/crates/cairncrank-keeper/src/node.rs
@@ -5,13 +5,18 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use cairncrank_duty::{Command, Micros, Outcome, Reason, Revision, SessionId, State, Times, Token, Warden};
+use cairncrank_duty::{
+    Command, Micros, Outcome, Reason, Replacing, Revision, SessionId, State, Times, Token, Warden,
+};
 use cairncrank_fleet::wire::{
     Answer, Ask, Disk as Identity, DutyStatus, FromKeeper, MemberStatus, Peer, Request, Status, Turned,
 };
 use hdrhistogram::Histogram;
 use protobuf::Message as _;
-use raft::eraftpb::{Entry, EntryType, HardState, Message, MessageType, Snapshot};
+use raft::eraftpb::{
+    ConfChange, ConfChangeSingle, ConfChangeTransition, ConfChangeType, ConfChangeV2, ConfState, Entry,
+    EntryType, HardState, Message, MessageType, Snapshot,
+};
 use raft::storage::MemStorage;
 use raft::{Config, GetEntriesContext, RaftState, RawNode, SnapshotStatus, StateRole, Storage, StorageError};
 
@@ -24,6 +29,8 @@
 /// Entries applied since the last snapshot before there is another, and how many stay in the log behind it.
 const SNAPSHOT_EVERY: u64 = 4_096;
 const SNAPSHOT_KEEPS: u64 = 512;
+/// A learner that lacks no more entries than this may vote.
+const CAUGHT_UP: u64 = 64;
 /// The most that waits for agreement or for the confirmation that this keeper leads.
 const MOST_WAITING: usize = 8_192;
 
@@ -123,6 +130,12 @@
     disk: Disk,
     identity: Identity,
     state: State,
+    /// Who votes and who learns, as applied.
+    conf: ConfState,
+    /// It changed: others are given a snapshot that knows of it.
+    conf_changed: bool,
+    /// When a change of it was proposed last.
+    conf_proposed: Option<Micros>,
     times: Times,
     warden: Option<Warden>,
     peers: BTreeMap<u64, Identity>,
@@ -174,7 +187,10 @@
         let log = MemStorage::new();
         {
             let mut log = log.wl();
-            log.apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
+            // The store of one that joins knows nothing, and has no place in the log.
+            if snapshot.get_metadata().index > 0 {
+                log.apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
+            }
             log.append(&entries).map_err(raft_fault)?;
             let commit =
                 hard.commit.clamp(snapshot.get_metadata().index, log.hard_state().commit.max(hard.commit));
@@ -193,6 +209,7 @@
             pre_vote: true,
             ..Config::default()
         };
+        let conf = snapshot.get_metadata().get_conf_state().clone();
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let raw = RawNode::new(&config, Store { log, snapshot }, &logger).map_err(raft_fault)?;
         let commits =
@@ -203,6 +220,9 @@
             identity,
             told: state.seats_revision(),
             state,
+            conf,
+            conf_changed: false,
+            conf_proposed: None,
             times,
             warden: None,
             peers,
@@ -243,7 +263,11 @@
     /// # Errors
     /// Its disk is not the one that was known, or an old copy of it.
     pub fn greeted(&mut self, by: Identity) -> Result<Result<(), Turned>, Stop> {
-        if by.keeper == self.identity.keeper || !self.raw.raft.prs().iter().any(|(id, _)| *id == by.keeper) {
+        // One that joins knows nobody yet; those that take it in know it as soon as that is agreed on.
+        let joins = self.conf == ConfState::default();
+        let known = self.raw.raft.prs().iter().any(|(id, _)| *id == by.keeper)
+            || self.state.added().contains_key(&by.keeper);
+        if by.keeper == self.identity.keeper || !(known || joins) {
             return Ok(Err(Turned::Stranger));
         }
         let agreed = self.state.keepers().get(&by.keeper).copied().unwrap_or(0);
@@ -334,15 +358,24 @@
     /// # Errors
     /// The keeper stops.
     pub fn hand_over(&mut self, now: Micros) -> Result<(), Stop> {
+        self.give_lead(0);
+        self.work(now)
+    }
+
+    fn give_lead(&mut self, not_to: u64) {
         if self.raw.raft.state == StateRole::Leader {
             let own = self.identity.keeper;
-            let best =
-                self.raw.raft.prs().iter().filter(|(id, _)| **id != own).max_by_key(|(_, at)| at.matched);
-            if let Some(to) = best.map(|(id, _)| *id) {
+            let others = self
+                .raw
+                .raft
+                .prs()
+                .iter()
+                .filter(|(id, _)| **id != own && **id != not_to && self.conf.get_voters().contains(id));
+            let best = others.max_by_key(|(_, at)| at.matched).map(|(id, _)| *id);
+            if let Some(to) = best {
                 self.raw.transfer_leader(to);
             }
         }
-        self.work(now)
     }
 
     /// Time has passed.
@@ -363,9 +396,92 @@
         for number in old {
             self.waiting.remove(&number);
         }
+        self.replace_on(now);
         self.work(now)
     }
 
+    /// Where keepers are that came later than the installation was set up.
+    pub fn added(&self) -> &BTreeMap<u64, String> {
+        self.state.added()
+    }
+
+    /// The next step of a replacement that is on its way, by whoever leads: the new one learns; when it has caught up
+    /// both change at once, through a configuration in which majorities of the old and the new have to agree; then that
+    /// is left, and the replacement is over. Each step is asked of what is agreed, so a next leader goes on.
+    fn replace_on(&mut self, now: Micros) {
+        let Some(Replacing { old, new }) = self.state.replacing().filter(|_| self.warden.is_some()) else {
+            return;
+        };
+        let lately = |at: Micros| now.saturating_sub(at) < self.times.election;
+        if self.raw.raft.has_pending_conf() || self.conf_proposed.is_some_and(lately) {
+            return;
+        }
+        self.conf_proposed = Some(now);
+        let (voters, learners) = (self.conf.get_voters(), self.conf.get_learners());
+        let single = |kind: ConfChangeType, node: u64| {
+            let mut change = ConfChangeSingle::default();
+            change.set_change_type(kind);
+            change.node_id = node;
+            change
+        };
+        let mut change = ConfChangeV2::default();
+        if !self.conf.get_voters_outgoing().is_empty() {
+            // An empty change leaves the joint configuration.
+        } else if voters.contains(&new) && !voters.contains(&old) {
+            let _ = self.raw.propose(Vec::new(), Command::KeeperReplaced { old }.encode());
+            return;
+        } else if !voters.contains(&new) && !learners.contains(&new) {
+            change.set_changes(vec![single(ConfChangeType::AddLearnerNode, new)].into());
+        } else if old == self.identity.keeper {
+            // It does not end its own lead by a change; another one goes on.
+            self.give_lead(new);
+            return;
+        } else {
+            let raft = &self.raw.raft;
+            let known = raft.raft_log.committed;
+            let caught_up = |at: &raft::Progress| at.recent_active && at.matched + CAUGHT_UP >= known;
+            if !raft.prs().get(new).is_some_and(caught_up) {
+                return;
+            }
+            change.set_transition(ConfChangeTransition::Explicit);
+            let both = vec![single(ConfChangeType::AddNode, new), single(ConfChangeType::RemoveNode, old)];
+            change.set_changes(both.into());
+        }
+        let _ = self.raw.propose_conf_change(Vec::new(), change);
+    }
+
+    /// A change of who votes was agreed on.
+    fn change_keepers(&mut self, entry: &Entry) -> Result<(), Stop> {
+        let fault = |error| Stop::Later(format!("entry {} cannot be read: {error}", entry.index));
+        let conf = match entry.get_entry_type() {
+            EntryType::EntryConfChange => {
+                let mut change = ConfChange::default();
+                change.merge_from_bytes(&entry.data).map_err(fault)?;
+                self.raw.apply_conf_change(&change)
+            }
+            _ => {
+                let mut change = ConfChangeV2::default();
+                change.merge_from_bytes(&entry.data).map_err(fault)?;
+                self.raw.apply_conf_change(&change)
+            }
+        };
+        let conf = conf.map_err(raft_fault)?;
+        let votes = |conf: &ConfState| {
+            conf.get_voters().iter().chain(conf.get_voters_outgoing()).any(|id| *id == self.identity.keeper)
+        };
+        let out = votes(&self.conf) && !votes(&conf);
+        self.raw.mut_store().log.wl().set_conf_state(conf.clone());
+        (self.conf, self.conf_changed) = (conf, true);
+        self.state.skip(entry.index);
+        match out {
+            true => Err(Stop::Replaced(format!(
+                "another keeper has taken the place of keeper {}: this one is not needed any more",
+                self.identity.keeper
+            ))),
+            false => Ok(()),
+        }
+    }
+
     fn give_up_round(&mut self) {
         for renewal in self.round.take().into_iter().flat_map(|round| round.renewals) {
             self.say(renewal.conn, renewal.request, Answer::Busy);
@@ -378,7 +494,10 @@
 
     fn not_leading(&self) -> Answer {
         match Some(self.leader).filter(|leader| *leader != 0 && *leader != self.identity.keeper) {
-            Some(leader) => Answer::NotLeading { leader: Some(leader) },
+            Some(leader) => {
+                let address = self.state.added().get(&leader).cloned();
+                Answer::NotLeading { leader: Some(leader), address }
+            }
             None => Answer::Busy,
         }
     }
@@ -431,6 +550,19 @@
                     None => self.say(conn, id, Answer::Refused(Reason::NotTheOwner)),
                 }
             }
+            Ask::Replace { old, new, address } => {
+                let why = match self.conf.get_voters() {
+                    voters if !voters.contains(&old) && self.state.replacing().is_none() => {
+                        Some(format!("there is no keeper {old}; those that vote are {voters:?}"))
+                    }
+                    voters if voters.contains(&new) => Some(format!("keeper {new} votes already")),
+                    _ => None,
+                };
+                match why {
+                    Some(why) => self.say(conn, id, Answer::Refused(Reason::Keepers(why))),
+                    None => self.propose(conn, id, Command::ReplaceKeeper { old, new, address }, now),
+                }
+            }
             Ask::Status => {}
         }
         self.work(now)
@@ -459,7 +591,10 @@
             self.role(now);
             self.answer_confirmed(now);
         }
-        if self.state.revision() >= self.raw.store().snapshot.get_metadata().index + SNAPSHOT_EVERY {
+        if self.conf_changed
+            || self.state.revision() >= self.raw.store().snapshot.get_metadata().index + SNAPSHOT_EVERY
+        {
+            self.conf_changed = false;
             self.compact()?;
         }
         if self.warden.is_some() && self.state.seats_revision() != self.told {
@@ -515,6 +650,7 @@
             let snapshot = ready.snapshot().clone();
             self.raw.mut_store().log.wl().apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
             self.state = restored(&snapshot)?;
+            self.conf = snapshot.get_metadata().get_conf_state().clone();
             self.raw.mut_store().snapshot = snapshot;
         }
         self.raw.mut_store().log.wl().append(ready.entries()).map_err(raft_fault)?;
@@ -540,10 +676,8 @@
     fn apply(&mut self, entries: Vec<Entry>, now: Micros) -> Result<(), Stop> {
         for entry in entries {
             if entry.get_entry_type() != EntryType::EntryNormal {
-                return Err(Stop::Later(format!(
-                    "entry {} changes the keepers, which this version does not know: it stops rather than skip it",
-                    entry.index
-                )));
+                self.change_keepers(&entry)?;
+                continue;
             }
             if entry.data.is_empty() {
                 self.state.skip(entry.index);
@@ -663,12 +797,12 @@
         let index = self.state.revision();
         let mut snapshot = Snapshot::default();
         let term = self.raw.store().term(index).map_err(raft_fault)?;
-        let voters = self.raw.store().snapshot.get_metadata().get_conf_state().clone();
+        let voters = self.conf.clone();
         snapshot.mut_metadata().index = index;
         snapshot.mut_metadata().term = term;
         snapshot.mut_metadata().set_conf_state(voters);
         snapshot.set_data(self.state.snapshot().into());
-        let gone = index - SNAPSHOT_KEEPS;
+        let gone = index.saturating_sub(SNAPSHOT_KEEPS);
         self.disk.write(&Batch { snapshot: Some((&snapshot, gone)), ..Batch::default() })?;
         self.raw.mut_store().log.wl().compact(gone + 1).map_err(raft_fault)?;
         self.raw.mut_store().snapshot = snapshot;
@@ -711,6 +845,12 @@
             members: members.collect(),
             duties: duties.collect(),
             keepers: state.keepers().iter().map(|(keeper, boots)| (*keeper, *boots)).collect(),
+            voters: {
+                let both = self.conf.get_voters().iter().chain(self.conf.get_voters_outgoing());
+                both.copied().collect::<std::collections::BTreeSet<u64>>().into_iter().collect()
+            },
+            learners: self.conf.get_learners().to_vec(),
+            replacing: state.replacing().map(|Replacing { old, new }| (old, new)),
         }
     }
 
--- a/crates/cairncrank-keeper/src/serve.rs
+++ b/crates/cairncrank-keeper/src/serve.rs
@@ -74,7 +74,8 @@
             Outgoing { to: *number, address: *address, bind: serve.bind, installation: installation.clone() };
         spawn_local(link.run(term.clone(), messages, events.clone()));
     }
-    let mut driver = Driver { keepers, conns: BTreeMap::new(), record, events };
+    let outgoing = Outgoing { to: 0, address: serve.listen, bind: serve.bind, installation };
+    let mut driver = Driver { keepers, conns: BTreeMap::new(), record, events, outgoing, term };
     let mut ticks = interval(Duration::from_micros(tick));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -118,9 +119,28 @@
     conns: BTreeMap<Conn, mpsc::Sender<Bytes>>,
     record: Recorder,
     events: mpsc::Sender<Event>,
+    /// What the link to a keeper that comes later is made of.
+    outgoing: Outgoing,
+    term: watch::Receiver<Identity>,
 }
 
 impl Driver {
+    /// Links to keepers that were agreed on since the installation was set up.
+    fn link_added(&mut self, node: &Node) {
+        let own = node.identity().keeper;
+        for (number, address) in node.added().iter().filter(|(number, _)| **number != own) {
+            if self.keepers.contains_key(number) {
+                continue;
+            }
+            let Ok(address) = address.parse::<SocketAddr>() else { continue };
+            tracing::info!(keeper = number, %address, "a keeper was added");
+            let (sender, messages) = mpsc::channel(TO_KEEPER);
+            self.keepers.insert(*number, sender);
+            let link = Outgoing { to: *number, address, ..self.outgoing.clone() };
+            spawn_local(link.run(self.term.clone(), messages, self.events.clone()));
+        }
+    }
+
     fn take(&mut self, node: &mut Node, event: Event) -> Result<(), Stop> {
         let now = clock::now();
         match event {
@@ -159,6 +179,7 @@
     }
 
     fn carry_out(&mut self, node: &mut Node) {
+        self.link_added(node);
         for out in node.take() {
             match out {
                 Out::Raft(message) => {
@@ -335,6 +356,7 @@
 }
 
 /// The connection to another keeper.
+#[derive(Clone)]
 struct Outgoing {
     to: u64,
     address: SocketAddr,
--- a/crates/cairncrank-keeper/tests/cluster.rs
+++ b/crates/cairncrank-keeper/tests/cluster.rs
@@ -64,6 +64,12 @@
     }
 
     fn deliver(&mut self) {
+        assert!(self.deliver_some().is_empty(), "a keeper was replaced");
+    }
+
+    /// Delivers all messages; returns who ended because another took its place.
+    fn deliver_some(&mut self) -> Vec<u64> {
+        let mut replaced = Vec::new();
         loop {
             let mut messages = Vec::new();
             for (keeper, node) in &mut self.nodes {
@@ -83,11 +89,18 @@
                 }
             }
             if messages.is_empty() {
-                return;
+                return replaced;
             }
             for (from, message) in messages {
-                if let Some(node) = self.nodes.get_mut(&message.to) {
-                    node.message(from, message, self.now).unwrap();
+                let to = message.to;
+                let Some(node) = self.nodes.get_mut(&to) else { continue };
+                match node.message(from, message, self.now) {
+                    Ok(()) => {}
+                    Err(Stop::Replaced(_)) => {
+                        self.nodes.remove(&to);
+                        replaced.push(to);
+                    }
+                    Err(stop) => panic!("keeper {to}: {stop}"),
                 }
             }
         }
@@ -277,3 +290,126 @@
     let (_, found) = Disk::open(&store, "test", 1).unwrap();
     assert_eq!((found.identity.boots, found.identity.disk), (1, 5), "starts that failed do not count");
 }
+
+impl Cluster {
+    fn voters(&mut self) -> Vec<u64> {
+        let leader = self.leader();
+        self.nodes[&leader].status().voters
+    }
+
+    fn replace(&mut self, old: u64, new: u64) -> Answer {
+        self.ask(Ask::Replace { old, new, address: "127.0.0.1:7104".into() })
+    }
+
+    /// Lets time pass until these vote, and nobody is being replaced.
+    fn until_voters(&mut self, wanted: &[u64]) {
+        for _ in 0..500 {
+            let leader = self.leader();
+            let status = self.nodes[&leader].status();
+            if status.voters == wanted && status.replacing.is_none() && status.learners.is_empty() {
+                return;
+            }
+            self.pass(TICK);
+        }
+        let leader = self.leader();
+        panic!("{:?}", self.nodes[&leader].status());
+    }
+}
+
+/// A keeper whose disk is gone is replaced while the others go on; the new one knows all, and counts.
+#[test]
+fn a_keeper_that_lost_its_disk_is_replaced_by_a_new_one() {
+    let mut cluster = Cluster::new();
+    let a = cluster.join("a", 1);
+    cluster.live(&[a], 3_000_000);
+    let before = cluster.granted.last().copied().expect("an owner");
+    let leader = cluster.leader();
+    let lost = (1..=3).find(|keeper| *keeper != leader).unwrap();
+    cluster.nodes.remove(&lost);
+    std::fs::remove_dir_all(cluster.store(lost)).unwrap();
+    disk::bootstrap_joining(&cluster.store(4), "test", 4, 104).unwrap();
+    cluster.start(4);
+    cluster.pass(2_000_000);
+    assert_eq!(cluster.nodes[&4].status().applied, 0, "nobody speaks to it before it is agreed on");
+    // Found by processes: one that joins has to let those in that will tell it all.
+    let others = cluster.nodes[&leader].identity();
+    assert_eq!(cluster.nodes.get_mut(&4).unwrap().greeted(others).unwrap(), Ok(()));
+    let new = cluster.nodes[&4].identity();
+    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new).unwrap(), Err(Turned::Stranger));
+    assert_eq!(cluster.replace(lost, 4), Answer::Done);
+    let new = cluster.nodes[&4].identity();
+    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new).unwrap(), Ok(()));
+    let mut wanted: Vec<u64> = (1..=4).filter(|keeper| *keeper != lost).collect();
+    cluster.until_voters(&wanted);
+    assert!(matches!(cluster.replace(lost, 5), Answer::Refused(Reason::Keepers(_))), "it is gone already");
+    assert!(matches!(cluster.replace(leader, lost), Answer::Refused(Reason::Keepers(_))), "a used number");
+    // The new one and one of the old are a majority; what was agreed is known to both.
+    cluster.nodes.remove(&leader);
+    wanted.retain(|keeper| *keeper != leader);
+    let b = cluster.join("b", 2);
+    cluster.live(&[b], 6_000_000);
+    let after = cluster.granted.last().copied().expect("an owner");
+    assert!(after.1 > before.1 && after.0 == b, "{before:?} {after:?}");
+    // And after all that are left were started anew from their disks.
+    for keeper in wanted {
+        cluster.nodes.remove(&keeper);
+        cluster.start(keeper);
+    }
+    let voters = cluster.voters();
+    assert!(voters.contains(&4) && !voters.contains(&lost), "{voters:?}");
+    let c = cluster.join("c", 3);
+    cluster.live(&[c], 6_000_000);
+    assert!(cluster.granted.last().is_some_and(|last| last.1 > after.1));
+}
+
+/// The one that leads is replaced too: it gives the lead away first, and ends when it is out.
+#[test]
+fn the_leading_keeper_is_replaced_and_the_lead_may_change_on_the_way() {
+    let mut cluster = Cluster::new();
+    let old = cluster.leader();
+    disk::bootstrap_joining(&cluster.store(4), "test", 4, 104).unwrap();
+    cluster.start(4);
+    assert_eq!(cluster.replace(old, 4), Answer::Done);
+    let end = cluster.now + 10_000_000;
+    while cluster.nodes.contains_key(&old) && cluster.now < end {
+        cluster.now += TICK;
+        let now = cluster.now;
+        let mut out = Vec::new();
+        for (keeper, node) in &mut cluster.nodes {
+            if let Err(stop) = node.tick(now) {
+                assert!(matches!(stop, Stop::Replaced(_)), "{stop}");
+                out.push(*keeper);
+            }
+        }
+        out.iter().for_each(|keeper| drop(cluster.nodes.remove(keeper)));
+        out.extend(cluster.deliver_some());
+        assert!(out.iter().all(|keeper| *keeper == old), "{out:?}");
+    }
+    let wanted: Vec<u64> = (1..=4).filter(|keeper| *keeper != old).collect();
+    cluster.until_voters(&wanted);
+    cluster.nodes.remove(&old);
+    let a = cluster.join("a", 1);
+    cluster.live(&[a], 6_000_000);
+    assert!(!cluster.granted.is_empty());
+}
+
+/// The leader dies between two steps of a replacement: the next one goes on where it was.
+#[test]
+fn a_replacement_goes_on_under_the_next_leader() {
+    for steps in [1, 4, 8, 12, 16, 24] {
+        let mut cluster = Cluster::new();
+        let leader = cluster.leader();
+        let old = (1..=3).find(|keeper| *keeper != leader).unwrap();
+        cluster.nodes.remove(&old);
+        disk::bootstrap_joining(&cluster.store(4), "test", 4, 104).unwrap();
+        cluster.start(4);
+        assert_eq!(cluster.replace(old, 4), Answer::Done);
+        cluster.pass(steps * TICK);
+        // Killed and started again: with the one that lost its disk away, it is needed for a majority.
+        cluster.nodes.remove(&leader);
+        cluster.pass(1_000_000);
+        cluster.start(leader);
+        let wanted: Vec<u64> = (1..=4).filter(|keeper| *keeper != old).collect();
+        cluster.until_voters(&wanted);
+    }
+}
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -25,6 +25,23 @@
     pub keeper: PathBuf,
 }
 
+impl Binaries {
+    /// Those that `cargo test --workspace` builds beside its tests, for a test that runs among them.
+    ///
+    /// # Errors
+    /// They are not there.
+    pub fn beside_tests() -> Result<Binaries, String> {
+        let test = std::env::current_exe().map_err(|error| error.to_string())?;
+        let profile = test.parent().and_then(Path::parent).ok_or("no folder of the profile")?;
+        let built = |name: &str| {
+            let program = profile.join(name);
+            let missing = format!("{} is missing: run the tests of the whole workspace", program.display());
+            program.is_file().then_some(program).ok_or(missing)
+        };
+        Ok(Binaries { dispatcher: built("cairncrank")?, keeper: built("cairncrank-keeper")? })
+    }
+}
+
 /// A process that ends with this value.
 #[derive(Debug)]
 struct Process(Child);
@@ -237,6 +254,51 @@
         Ok(())
     }
 
+    /// Runs `cairncrank-keeper` with the configuration of keeper `n`, from one, and returns what it says, or why it
+    /// failed.
+    ///
+    /// # Errors
+    /// It failed.
+    pub fn keeper_tool(&self, n: usize, arguments: &[&str]) -> Result<String, String> {
+        let made = Command::new(&self.binaries.keeper)
+            .args(arguments)
+            .arg("--config")
+            .arg(self.dir.join(format!("k{n}.hcl")))
+            .output()
+            .map_err(fault(self.binaries.keeper.display()))?;
+        match made.status.success() {
+            true => Ok(String::from_utf8_lossy(&made.stdout).into_owned()),
+            false => Err(String::from_utf8_lossy(&made.stderr).into_owned()),
+        }
+    }
+
+    /// Kills keeper `lost` and removes its store; sets up and starts keeper `new`, which is to take its place. Returns
+    /// where the new one is.
+    ///
+    /// # Errors
+    /// Something cannot be set up.
+    pub fn lose_keeper(&mut self, lost: usize, new: usize) -> Result<SocketAddr, String> {
+        self.kill_keeper(lost);
+        let store = self.dir.join(format!("k{lost}"));
+        std::fs::remove_dir_all(&store).map_err(fault(store.display()))?;
+        let file = self.dir.join(format!("k{lost}.hcl"));
+        let text = std::fs::read_to_string(&file).map_err(fault(file.display()))?;
+        let at = SocketAddr::from((self.listen[0].ip(), 30_000 + new as u16));
+        // The block of the lost one, and its `serve`, become the new one's.
+        let block = text.split("keeper \"").find(|block| block.starts_with(&format!("{lost}\"")));
+        let old = block.and_then(|block| block.split('"').nth(2)).ok_or("no block of the lost keeper")?;
+        let text = text
+            .replace(&format!("keeper \"{lost}\""), &format!("keeper \"{new}\""))
+            .replace(old, &at.to_string())
+            .replace(&format!("keeper = {lost}\n"), &format!("keeper = {new}\n"))
+            .replace(&store.display().to_string(), &self.dir.join(format!("k{new}")).display().to_string());
+        write(&self.dir.join(format!("k{new}.hcl")), text)?;
+        self.keeper_tool(new, &["bootstrap", "--joining"])?;
+        self.keepers.resize_with(new.max(self.keepers.len()), || None);
+        self.start_keeper(new)?;
+        Ok(at)
+    }
+
     /// Kills keeper `n`, from one.
     pub fn kill_keeper(&mut self, n: usize) {
         self.keepers[n - 1] = None;
@@ -283,7 +345,7 @@
             let line = log.lines().rfind(|line| line.contains("leads term=Some"))?.to_owned();
             line.rsplit_once("Some(")?.1.split(')').next()?.parse::<u64>().ok()
         };
-        (1..=3).max_by_key(|n| term(n)).unwrap_or(1)
+        (1..=self.keepers.len()).max_by_key(|n| term(n)).unwrap_or(1)
     }
 
     /// The dispatcher that said last that it asks for the fleet, from nought.
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -1,6 +1,6 @@
 //! The duty "list" with processes: keepers, dispatchers and a discovery that counts who asks.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use cairncrank_lab::fleet::standin_discovery::Discovery;
@@ -11,21 +11,12 @@
 const DISPATCHERS: usize = 4;
 const WORKERS: usize = 12;
 
-/// A binary of this workspace: `cargo test --workspace` builds it beside the tests.
-fn built(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test's own path");
-    let profile = test.parent().and_then(|deps| deps.parent()).expect("a folder of the profile");
-    let program = profile.join(name);
-    assert!(program.is_file(), "{} is missing: run the tests of the whole workspace", program.display());
-    program
-}
-
 /// A fleet in a folder that goes with it.
 async fn start(together: bool) -> (tempfile::TempDir, Together) {
     let dir = tempfile::tempdir().unwrap();
     let toy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/config.json");
     let config = serde_json::from_slice(&std::fs::read(toy).unwrap()).unwrap();
-    let binaries = Binaries { dispatcher: built("cairncrank"), keeper: built("cairncrank-keeper") };
+    let binaries = Binaries::beside_tests().unwrap();
     let discovery = Discovery::new(WORKERS);
     let setup = Setup {
         dispatchers: DISPATCHERS,
@@ -129,6 +120,39 @@
     });
 }
 
+/// A keeper's disk is lost; a new keeper takes its place while the dispatchers go on, and then counts for a majority,
+/// though no dispatcher's configuration names it.
+#[test]
+fn a_lost_keeper_is_replaced_and_the_duty_goes_on() {
+    play(async {
+        let (_dir, mut fleet) = start(true).await;
+        let leader = fleet.leader();
+        let lost = (1..=3).find(|keeper| *keeper != leader).unwrap();
+        let at = fleet.lose_keeper(lost, 4).unwrap().to_string();
+        let refused = fleet.keeper_tool(4, &["replace", "--keeper", "9", "--with", "4", "--address", &at]);
+        assert!(refused.unwrap_err().contains("there is no keeper 9"));
+        let lost = lost.to_string();
+        let replace = ["replace", "--keeper", &lost, "--with", "4", "--address", &at];
+        let said = fleet.keeper_tool(4, &replace).unwrap();
+        assert!(said.contains("has taken the place"), "{said}");
+        fleet.keeper_tool(4, &replace).expect("asked again it says that it is done");
+        fleet.watches(1).await.unwrap();
+        // Now the new one and one other are the majority, and one of them leads.
+        fleet.kill_keeper(leader);
+        let owner = fleet.owner().expect("an owner");
+        fleet.kill_dispatcher(owner);
+        let start = Instant::now();
+        while fleet.owner() == Some(owner) {
+            assert!(start.elapsed() < Duration::from_secs(12), "nobody took over\n{}", fleet.logs());
+            sleep(Duration::from_millis(10)).await;
+        }
+        println!("another one asks {:?} after owner and leader were killed", start.elapsed());
+        fleet.watches(1).await.unwrap();
+        fleet.discovery.change(1, "terminated");
+        fleet.all_know(WORKERS - 1).await.unwrap();
+    });
+}
+
 #[test]
 fn without_a_fleet_each_asks_for_itself() {
     play(async {
--- a/crates/cairncrank-lab/tests/watching.rs
+++ b/crates/cairncrank-lab/tests/watching.rs
@@ -1,24 +1,14 @@
 //! Workers watched by one dispatcher each, with processes and faults between them.
 
-use std::path::PathBuf;
 use std::time::Duration;
 
 use cairncrank_lab::fleet::joining;
 use cairncrank_lab::fleet::together::Binaries;
 use cairncrank_lab::fleet::watching::{play, Plan, Watched, RULES};
 
-/// A binary of this workspace: `cargo test --workspace` builds it beside the tests.
-fn built(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test's own path");
-    let profile = test.parent().and_then(|deps| deps.parent()).expect("a folder of the profile");
-    let program = profile.join(name);
-    assert!(program.is_file(), "{} is missing: run the tests of the whole workspace", program.display());
-    program
-}
-
 fn played(plan: &Plan) -> Watched {
     let dir = tempfile::tempdir().unwrap();
-    let binaries = Binaries { dispatcher: built("cairncrank"), keeper: built("cairncrank-keeper") };
+    let binaries = Binaries::beside_tests().unwrap();
     play(dir.path(), &binaries, plan).unwrap()
 }
 
@@ -44,7 +34,7 @@
     let day = |grants: bool| {
         std::thread::spawn(move || {
             let dir = tempfile::tempdir().unwrap();
-            let binaries = Binaries { dispatcher: built("cairncrank"), keeper: built("cairncrank-keeper") };
+            let binaries = Binaries::beside_tests().unwrap();
             let plan =
                 joining::Plan { dispatchers: 12, rate: 90.0, grants, kill: grants, ..Default::default() };
             joining::play(dir.path(), &binaries, &plan).unwrap()
