Cut the sets of workers by zone, so that each has neighbours there

Looked at: the sets by number of all 20 workers; worker 3 was alone of its zone in its set, and its owner had one set.

Change: `Watching::set_of` takes the zone's place too; the workers of a zone are cut into sets / zones, at least one. The name of the duties carries both numbers, so members that cut otherwise do not take each other's sets for their own.

A test holds that no zone has more sets than its part; by number it fails.

--- a/crates/cairncrank-fleet/src/settings.rs
+++ b/crates/cairncrank-fleet/src/settings.rs
@@ -94,7 +94,7 @@
     Ok(times)
 }
 
-/// The block `watch`: how workers are watched by one member each.
+/// The block `watch`: how workers are watched by one member each. The number of zones is filled in by whoever knows it.
 ///
 /// # Errors
 /// A figure is out of bounds, or two do not fit together: the fault names both.
@@ -109,6 +109,7 @@
     }
     Ok(Watching {
         sets: section.whole("sets", 1..=MOST_SETS)?.unwrap_or(SETS) as u16,
+        zones: 1,
         period,
         fails: section.whole("fails", 1..=100)?.unwrap_or(FAILS) as u16,
         holds,
--- a/crates/cairncrank-fleet/src/watch.rs
+++ b/crates/cairncrank-fleet/src/watch.rs
@@ -30,6 +30,8 @@
 pub struct Watching {
     /// Into how many sets the workers are cut.
     pub sets: u16,
+    /// How many zones there are; by the settings that all dispatchers have, at the start.
+    pub zones: u16,
     /// How often a worker is probed.
     pub period: Micros,
     /// So many failures in a row are told as such.
@@ -58,10 +60,10 @@
 }
 
 impl Watching {
-    /// The name of the duties. It carries the number of sets: members that cut the workers in other ways do not take
-    /// each other's sets for their own.
+    /// The name of the duties. It carries how the workers are cut: members that do so in other ways do not take each
+    /// other's sets for their own.
     pub fn name(&self) -> String {
-        format!("watch-of-{}", self.sets)
+        format!("watch-of-{}-in-{}", self.sets, self.zones)
     }
 
     /// All duties of this kind.
@@ -77,10 +79,14 @@
         }
     }
 
-    /// The set that a worker is in; by its number, which is the same everywhere.
-    pub fn set_of(&self, worker: u64) -> u16 {
+    /// The set that a worker is in; by its number and its zone's place, which are the same everywhere. The workers of a
+    /// zone are in as few sets as there are for it, so that each has neighbours of its zone there: without one that is
+    /// well, nobody can tell a worker that fails from the way to its zone.
+    pub fn set_of(&self, worker: u64, zone: u32) -> u16 {
+        let (sets, zones) = (u64::from(self.sets.max(1)), u64::from(self.zones.max(1)));
+        let spread = (sets / zones).max(1);
         let mixed = worker.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
-        (mixed % u64::from(self.sets.max(1))) as u16
+        ((u64::from(zone) * spread + mixed % spread) % sets) as u16
     }
 }
 
@@ -392,7 +398,8 @@
     use super::*;
 
     const SECOND: Micros = 1_000_000;
-    const HOW: Watching = Watching { sets: 2, period: SECOND, fails: 2, holds: 4 * SECOND, flaw: None };
+    const HOW: Watching =
+        Watching { sets: 2, zones: 1, period: SECOND, fails: 2, holds: 4 * SECOND, flaw: None };
 
     /// Workers 0 to 5, two in each of three zones.
     fn fleet() -> impl Iterator<Item = (u64, &'static str)> {
@@ -538,8 +545,18 @@
     fn workers_are_spread_over_the_sets_and_sets_are_told_apart_by_their_number() {
         let how = Watching { sets: 8, ..HOW };
         let mut counts = [0u32; 8];
-        (0..4_000u64).for_each(|worker| counts[usize::from(how.set_of(worker * 7 + 1))] += 1);
+        (0..4_000u64).for_each(|worker| counts[usize::from(how.set_of(worker * 7 + 1, 0))] += 1);
         assert!(counts.iter().all(|count| (400..600).contains(count)), "{counts:?}");
+        // Found by processes (seed 208 with 8 dispatchers): a worker that was alone of its zone in its set.
+        for zones in [2, 3, 8, 20] {
+            let how = Watching { zones, ..how };
+            let of = |zone: u16| (0..9u64).map(move |n| how.set_of(n * 7 + 1, u32::from(zone)));
+            let sets: Vec<BTreeSet<u16>> = (0..zones).map(|zone| of(zone).collect()).collect();
+            let most = usize::from((8 / zones).max(1));
+            assert!(sets.iter().all(|sets| sets.len() <= most), "{zones}: {sets:?}");
+            let all: BTreeSet<u16> = sets.iter().flatten().copied().collect();
+            assert!(all.len() >= usize::from(zones.min(8)), "{zones}: {sets:?}");
+        }
         assert_eq!(how.duties().len(), 8);
         assert!(how.duties().iter().all(|duty| how.set(duty).is_some()));
         assert!(HOW.duties().iter().all(|duty| how.set(duty).is_none()));
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -16,6 +16,7 @@
 use cairncrank_fleet::list::{Ledger, News, Reliance, LIST};
 use cairncrank_fleet::member::{Ended, Member, Settings};
 use cairncrank_fleet::record::Recorder;
+use cairncrank_fleet::watch::Watching;
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -67,9 +68,11 @@
 ) -> std::io::Result<(Rc<Lists>, mpsc::Receiver<News>)> {
     let listener = TcpListener::bind(settings.listen).await?;
     let address = settings.address.map_or_else(|| listener.local_addr(), Ok)?;
+    let zones = config.names.zones.len().clamp(1, usize::from(u16::MAX)) as u16;
+    let watch = settings.watch.map(|how| Watching { zones, ..how });
     let mut offers: Vec<DutyId> = settings.list.then(|| DutyId::fleet(LIST)).into_iter().collect();
     offers.extend(settings.cold.map(|_| DutyId::fleet(COLD)));
-    offers.extend(settings.watch.iter().flat_map(|how| how.duties()));
+    offers.extend(watch.iter().flat_map(|how| how.duties()));
     let zone = config.names.zones.get(config.settings.zone as usize).cloned().unwrap_or_default();
     let member = Settings {
         installation: settings.installation.clone(),
@@ -87,9 +90,8 @@
     let member = Member::new(member, Holder::new(settings.times), record);
     member.record().put(clock::now(), "started", serde_json::json!({}));
     let (sender, news) = mpsc::channel(NEWS);
-    let watchers = settings
-        .watch
-        .map(|how| Rc::new(Watchers::new(how, zone, member.clone(), pool.clone(), metrics.clone())));
+    let watchers =
+        watch.map(|how| Rc::new(Watchers::new(how, zone, member.clone(), pool.clone(), metrics.clone())));
     watchers.iter().for_each(|watchers| drop(spawn_local(watchers.clone().rounds())));
     let colds = settings.cold.map(|how| {
         let both = (Dealing { written: config.dial_timeout + WRITTEN, ..how }, warming(config));
--- a/crates/cairncrank/src/net/watchers.rs
+++ b/crates/cairncrank/src/net/watchers.rs
@@ -123,7 +123,9 @@
         let peers = self.pool.peers.borrow();
         let (mut watched, mut failing) = (0, 0);
         for (set, term) in terms.iter_mut() {
-            let ours = peers.iter().filter(|(id, peer)| peer.serves.get() && self.how.set_of(id.0) == *set);
+            let ours = peers
+                .iter()
+                .filter(|(id, peer)| peer.serves.get() && self.how.set_of(id.0, peer.zone.get()) == *set);
             let zone = |at: u32| zones.get(at as usize).map_or("", String::as_str);
             term.rounds.list(now, ours.map(|(id, peer)| (id.0, zone(peer.zone.get()))));
             for worker in term.rounds.due(now) {
