--- a/crates/cairncrank-duty/src/machine.rs
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -2,8 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use std::borrow::Cow;
-
 use serde::{Deserialize, Serialize};
 
 use crate::{Command, DutyId, Revision, Scope, SessionId, Token};
@@ -80,6 +78,8 @@
     names: BTreeMap<String, Name>,
     duties: BTreeMap<DutyId, Duty>,
     keepers: BTreeMap<u64, u64>,
+    /// Stands behind the rest in a snapshot, and only where there is something of it.
+    #[serde(skip)]
     changes: Changes,
 }
 
@@ -102,19 +102,6 @@
     pub new: u64,
 }
 
-/// The state as version 1 wrote it, and as it is still written where nothing of version 2 is in it.
-#[derive(Deserialize, Serialize)]
-struct Before<'a> {
-    revision: Revision,
-    seats_revision: Revision,
-    roster_revision: Revision,
-    next_token: u64,
-    sessions: Cow<'a, BTreeMap<SessionId, Session>>,
-    names: Cow<'a, BTreeMap<String, Name>>,
-    duties: Cow<'a, BTreeMap<DutyId, Duty>>,
-    keepers: Cow<'a, BTreeMap<u64, u64>>,
-}
-
 /// What became of a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -506,20 +493,12 @@
 
     /// The bytes of a snapshot: its version, then all.
     pub fn snapshot(&self) -> Vec<u8> {
-        if self.changes != Changes::default() {
-            return postcard::to_stdvec(&(SNAPSHOT_VERSION, self)).unwrap_or_default();
-        }
-        let before = Before {
-            revision: self.revision,
-            seats_revision: self.seats_revision,
-            roster_revision: self.roster_revision,
-            next_token: self.next_token,
-            sessions: Cow::Borrowed(&self.sessions),
-            names: Cow::Borrowed(&self.names),
-            duties: Cow::Borrowed(&self.duties),
-            keepers: Cow::Borrowed(&self.keepers),
+        let packed = match self.changes == Changes::default() {
+            // As version 1 wrote it.
+            true => postcard::to_stdvec(&(1u16, self)),
+            false => postcard::to_stdvec(&(SNAPSHOT_VERSION, self, &self.changes)),
         };
-        postcard::to_stdvec(&(1u16, before)).unwrap_or_default()
+        packed.unwrap_or_default()
     }
 
     /// Reads a snapshot.
@@ -527,20 +506,10 @@
         let fault = |error: postcard::Error| SnapshotFault(error.to_string());
         let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(fault)?;
         match version {
-            SNAPSHOT_VERSION => postcard::from_bytes(rest).map_err(fault),
-            1 => {
-                let before: Before<'_> = postcard::from_bytes(rest).map_err(fault)?;
-                Ok(State {
-                    revision: before.revision,
-                    seats_revision: before.seats_revision,
-                    roster_revision: before.roster_revision,
-                    next_token: before.next_token,
-                    sessions: before.sessions.into_owned(),
-                    names: before.names.into_owned(),
-                    duties: before.duties.into_owned(),
-                    keepers: before.keepers.into_owned(),
-                    changes: Changes::default(),
-                })
+            1 => postcard::from_bytes(rest).map_err(fault),
+            SNAPSHOT_VERSION => {
+                let (state, changes): (State, Changes) = postcard::from_bytes(rest).map_err(fault)?;
+                Ok(State { changes, ..state })
             }
             _ => {
                 Err(SnapshotFault(format!("it has version {version}, this keeper knows {SNAPSHOT_VERSION}")))
--- a/crates/cairncrank-duty/src/warden.rs
+++ b/crates/cairncrank-duty/src/warden.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{Command, DutyId, Micros, Reason, Revision, Scope, SessionId, State, Times, Token};
+use crate::{Command, DutyId, Micros, Reason, Revision, Scope, SessionId, State, Times};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Heard {
@@ -28,8 +28,8 @@
     heard: BTreeMap<SessionId, Heard>,
     settling: BTreeSet<SessionId>,
     granting: BTreeSet<(DutyId, Revision)>,
-    /// The term that is being moved to a member with less to do, and when that was proposed.
-    moving: Option<(DutyId, Token, Micros)>,
+    /// When a set was moved last to a member with less to do.
+    moved: Option<Micros>,
 }
 
 impl Warden {
@@ -40,7 +40,7 @@
             heard: BTreeMap::new(),
             settling: BTreeSet::new(),
             granting: BTreeSet::new(),
-            moving: None,
+            moved: None,
         };
         warden.applied(now, state);
         warden
@@ -136,7 +136,7 @@
         now: Micros,
         state: &State,
     ) -> Option<Command> {
-        if self.moving.as_ref().is_some_and(|(.., at)| now.saturating_sub(*at) < self.times.stay) {
+        if self.moved.is_some_and(|at| now.saturating_sub(at) < self.times.stay) {
             return None;
         }
         let sets = state.duties().iter().filter(|(id, _)| matches!(id.scope, Scope::Set(_)));
@@ -148,7 +148,7 @@
         if of(&to) + 2 > of(&owner.session) {
             return None;
         }
-        self.moving = Some((id.clone(), owner.token, now));
+        self.moved = Some(now);
         Some(Command::Release { duty: id.clone(), token: owner.token, unsettle: false })
     }
 
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -15,6 +15,9 @@
 use crate::record::Recorder;
 use crate::wire::{turned_away, Answer, Ask, FromKeeper, Hello, Link, Peer, Request, Who, SCHEMA};
 
+/// The most keepers that a member knows of: those that it is told of and those that came later.
+const MOST_KEEPERS: usize = 32;
+
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -177,7 +180,8 @@
                 }
             };
             if let Some((leader, Some(address))) = next {
-                if keepers.insert(leader, address).is_none() {
+                let room = keepers.contains_key(&leader) || keepers.len() < MOST_KEEPERS;
+                if room && keepers.insert(leader, address).is_none() {
                     numbers.push(leader);
                 }
             }
--- a/crates/cairncrank-fleet/src/watch.rs
+++ b/crates/cairncrank-fleet/src/watch.rs
@@ -16,8 +16,6 @@
 use cairncrank_duty::{DutyId, Micros, Scope, Token};
 use serde::{Deserialize, Serialize};
 
-/// How often an owner says how things are where nothing changes, in parts of a period.
-const SAYS_AGAIN: u64 = 1;
 /// Between two reports of one owner there is at least this.
 const ROUND: Micros = 100_000;
 /// Workers that come new are probed first within this part of a period after the first, so that they do not all meet.
@@ -202,7 +200,7 @@
         let since = self.said.map(|said| now.saturating_sub(said));
         let due = match since {
             None => self.workers.values().any(|watched| watched.seen.is_some()),
-            Some(since) => since >= SAYS_AGAIN * self.how.period || (self.changed && since >= ROUND),
+            Some(since) => since >= self.how.period || (self.changed && since >= ROUND),
         };
         if !due {
             return None;
@@ -217,19 +215,14 @@
             let zone = report.zones.iter().position(|known| known.name == watched.zone);
             let zone = zone.unwrap_or_else(|| {
                 let lit = zones.well_since(&watched.zone, lately);
-                report.zones.push(ZoneSeen { name: watched.zone.clone(), lit, well: 0, failing: 0 });
+                report.zones.push(ZoneSeen { name: watched.zone.clone(), lit, failing: 0 });
                 report.zones.len() - 1
             });
-            match watched.failures {
-                0 => report.zones[zone].well += 1,
-                failures if failures >= self.how.fails => {
-                    report.zones[zone].failing += 1;
-                    let ago = now.saturating_sub(seen);
-                    let alone = watched.alone;
-                    report.failing.push(Failing { worker: *id, zone: zone as u16, failures, ago, alone });
-                }
-                // Once is no news.
-                _ => {}
+            // Once is no news.
+            if watched.failures >= self.how.fails {
+                report.zones[zone].failing += 1;
+                let (failures, alone, ago) = (watched.failures, watched.alone, now.saturating_sub(seen));
+                report.failing.push(Failing { worker: *id, zone: zone as u16, failures, ago, alone });
             }
         }
         Some(report)
@@ -249,8 +242,6 @@
     pub name: String,
     /// Some worker of it was seen well of late, in whichever set the watcher owns.
     pub lit: bool,
-    /// Workers that are well.
-    pub well: u32,
     /// Workers that fail.
     pub failing: u32,
 }
--- a/crates/cairncrank-keeper/tests/cluster.rs
+++ b/crates/cairncrank-keeper/tests/cluster.rs
@@ -386,8 +386,8 @@
         assert!(out.iter().all(|keeper| *keeper == old), "{out:?}");
     }
     let wanted: Vec<u64> = (1..=4).filter(|keeper| *keeper != old).collect();
+    assert!(!cluster.nodes.contains_key(&old), "it heard of it and did not end");
     cluster.until_voters(&wanted);
-    cluster.nodes.remove(&old);
     let a = cluster.join("a", 1);
     cluster.live(&[a], 6_000_000);
     assert!(!cluster.granted.is_empty());
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -1,5 +1,5 @@
-//! Being a member of a fleet, where our own settings name keepers: the list of workers asked for by one member, and
-//! the workers watched by one each.
+//! Being a member of a fleet, where our own settings name keepers: the list of workers asked for by one member,
+//! the workers watched by one each, and what cold workers bear handed out by one.
 //!
 //! Nothing here is on the way of a job. Without a keeper, an owner or news of it, discovery is followed as if there
 //! were no fleet.
--- a/crates/cairncrank/src/net/watchers.rs
+++ b/crates/cairncrank/src/net/watchers.rs
@@ -135,7 +135,6 @@
             let counts = term.rounds.counts();
             (watched, failing) = (watched + counts.0, failing + counts.1);
         }
-        self.metrics.owned.set(self.member.owned().len() as i64);
         self.metrics.watched.set(watched as i64);
         self.metrics.failing.set(failing as i64);
     }
