--- a/crates/cairncrank-lab/src/fleet/joining.rs
+++ b/crates/cairncrank-lab/src/fleet/joining.rs
@@ -3,7 +3,7 @@
 //!
 //! The stand-in workers are slow while they are cold and fall when all dispatchers together send more than they bear.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -12,16 +12,16 @@
 
 use bytes::BytesMut;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 use serde::Serialize;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use super::bearing::{Worker, MULTIPLE, SHARE, SPAN, WARM};
 use super::checker::{self, Records};
 use super::standin_discovery::Discovery;
 use super::together::{Binaries, Setup, Together};
@@ -31,13 +31,6 @@
 /// Slots of each worker, and how long a job runs at a warm one.
 const SLOTS: usize = 4;
 const RUN: Duration = Duration::from_millis(200);
-/// What the settings tell of cold workers.
-const SHARE: f64 = 0.14;
-const WARM: Duration = Duration::from_secs(24);
-const MULTIPLE: f64 = 3.0;
-const SPAN: Duration = Duration::from_millis(1_500);
-/// How long a worker that was pushed over takes nothing.
-const DOWN: Duration = Duration::from_secs(5);
 const DEADLINE: Duration = Duration::from_secs(3);
 const PROMISE: Duration = Duration::from_secs(1);
 
@@ -97,61 +90,6 @@
     pub broken: Vec<String>,
 }
 
-struct Worker {
-    slots: Semaphore,
-    /// When it started, if not long ago.
-    since: Option<Instant>,
-    /// When work was sent to it.
-    sent: RefCell<Vec<Instant>>,
-    down: Cell<Option<Instant>>,
-    falls: Cell<u64>,
-    random: RefCell<Pcg64>,
-}
-
-impl Worker {
-    fn new(cold: bool, seed: u64) -> Rc<Worker> {
-        Rc::new(Worker {
-            slots: Semaphore::new(SLOTS),
-            since: cold.then(Instant::now),
-            sent: RefCell::default(),
-            down: Cell::default(),
-            falls: Cell::default(),
-            random: RefCell::new(Pcg64::seed_from_u64(seed)),
-        })
-    }
-
-    fn warmth(&self, at: Instant) -> f64 {
-        let age = |since: Instant| at.duration_since(since).as_secs_f64() / WARM.as_secs_f64();
-        self.since.map_or(1.0, |since| SHARE + (1.0 - SHARE) * age(since).min(1.0))
-    }
-
-    /// Jobs that it bears in a span that ends then.
-    fn bears(&self, at: Instant) -> f64 {
-        MULTIPLE * self.warmth(at) * SLOTS as f64 * SPAN.as_secs_f64() / RUN.as_secs_f64()
-    }
-
-    /// Jobs sent in the span that ends with the last of these.
-    fn in_span(sent: &[Instant]) -> f64 {
-        let Some(last) = sent.last() else { return 0.0 };
-        sent.iter().rev().take_while(|at| *last - **at < SPAN).count() as f64
-    }
-
-    /// A job came; false where it pushed the worker over, or finds it down.
-    fn comes(&self, now: Instant) -> bool {
-        self.sent.borrow_mut().push(now);
-        if self.down.get().is_some_and(|until| now < until) {
-            return false;
-        }
-        let bears = self.bears(now);
-        if self.since.is_some() && Worker::in_span(&self.sent.borrow()) > bears + 3.0 * bears.sqrt() + 3.0 {
-            self.down.set(Some(now + DOWN));
-            self.falls.set(self.falls.get() + 1);
-            return false;
-        }
-        true
-    }
-}
-
 /// Plays one day below this folder.
 ///
 /// # Errors
@@ -170,10 +108,11 @@
     for n in 0..stay + replaced {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io)?;
         discovery.add(n, listener.local_addr().map_err(io)?);
-        spawn_local(work(Worker::new(false, plan.seed ^ n as u64), listener));
+        spawn_local(work(Worker::new((SLOTS, RUN), false, plan.seed ^ n as u64), listener));
     }
     let block = format!("cold {{\nslots = {SLOTS}\n}}\n");
     let setup = Setup {
+        keepers: 3,
         dispatchers: plan.dispatchers,
         fleet: Some(if plan.grants { block.as_str() } else { "" }),
         discoveries: std::slice::from_ref(&discovery),
@@ -195,7 +134,7 @@
     sleep_until(warm).await;
     let mut cold = Vec::new();
     for n in 0..replaced {
-        let worker = Worker::new(true, plan.seed ^ (100 + n as u64));
+        let worker = Worker::new((SLOTS, RUN), true, plan.seed ^ (100 + n as u64));
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io)?;
         discovery.add_cold("north", 100 + n, listener.local_addr().map_err(io)?);
         spawn_local(work(worker.clone(), listener));
@@ -234,14 +173,13 @@
     let mut joined = Joined::default();
     let (mut borne, mut sent) = (0.0, 0.0);
     for worker in cold {
-        joined.fallen += worker.falls.get();
-        let all = worker.sent.borrow();
-        let all: Vec<Instant> = all.iter().copied().filter(|at| *at < end).collect();
+        joined.fallen += worker.falls();
+        let all: Vec<Instant> = worker.sent().into_iter().filter(|at| *at < end).collect();
         for n in 0..all.len() {
             joined.fullest = joined.fullest.max(Worker::in_span(&all[..=n]) / worker.bears(all[n]));
         }
         sent += all.len() as f64;
-        let mut at = worker.since.unwrap_or(warm);
+        let mut at = worker.since().unwrap_or(warm);
         while at < end {
             borne += worker.bears(at);
             at += SPAN;
@@ -302,10 +240,9 @@
         }
         let id = head.get("request-id").unwrap_or_default().to_owned();
         let line = |state: &str| json!({"id": id, "state": state, "result": "ok"}).to_string();
-        let Ok(slot) = worker.slots.acquire().await else { return Ok(()) };
+        let Some(slot) = worker.slot().await else { return Ok(()) };
         stream.write_all(&[CHUNKED, chunk(&line("started")).as_slice()].concat()).await?;
-        let varies = LogNormal::new(0.0, 0.3).map_or(1.0, |d| d.sample(&mut *worker.random.borrow_mut()));
-        sleep(RUN.mul_f64(varies / worker.warmth(Instant::now()))).await;
+        sleep(worker.takes(Instant::now())).await;
         drop(slot);
         stream.write_all(&[chunk(&line("done")).as_slice(), LAST_CHUNK].concat()).await?;
     }
@@ -323,7 +260,8 @@
         let (tally, id) = (tally.clone(), n << 32 | count);
         spawn_local(async move {
             let from = Instant::now();
-            let answer = timeout(DEADLINE + Duration::from_millis(500), ask(&mut None, address, id)).await;
+            let answer =
+                timeout(DEADLINE + Duration::from_millis(500), ask(&mut None, address, ("lookup", id))).await;
             let status = answer.ok().and_then(Result::ok).unwrap_or(0);
             tally.borrow_mut().push((from, from.elapsed(), status));
         });
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 //! link between two of them through [`proxy`]; [`checker`] reads the records that the processes left, and nothing
 //! else; [`results`] adds up. [`light`] is a member without jobs, on the real transport. [`together`] is a
 //! fleet of real dispatchers with one discovery, [`waits`] asks whether their clients notice it, [`watching`] has them
-//! watch workers for each other while faults happen, [`joining`] replaces most workers by cold ones. [`model`] checks the protocol
+//! watch workers for each other while faults happen, [`joining`] replaces most workers by cold ones, [`worth`] measures
+//! what a fleet saves and costs by its size. [`model`] checks the protocol
 //! in every order of events, [`hours`] in virtual time.
 
+pub mod bearing;
 pub mod checker;
 pub mod hours;
 pub mod joining;
@@ -20,3 +22,4 @@
 pub mod together;
 pub mod waits;
 pub mod watching;
+pub mod worth;
--- a/crates/cairncrank-lab/src/fleet/proxy.rs
+++ b/crates/cairncrank-lab/src/fleet/proxy.rs
@@ -46,6 +46,8 @@
     pub resets: u64,
     /// See [`Net::resets`].
     pub doubles: u64,
+    /// Bytes that were carried, both ways.
+    pub bytes: u64,
 }
 
 /// All proxies of a rig share it.
@@ -55,7 +57,14 @@
     /// A net without troubles, where connections from these addresses are known.
     pub fn new(names: BTreeMap<IpAddr, Name>, seed: u64) -> Shared {
         let random = Pcg64::seed_from_u64(seed);
-        Rc::new(RefCell::new(Net { troubles: BTreeMap::new(), names, random, resets: 0, doubles: 0 }))
+        Rc::new(RefCell::new(Net {
+            troubles: BTreeMap::new(),
+            names,
+            random,
+            resets: 0,
+            doubles: 0,
+            bytes: 0,
+        }))
     }
 
     /// Changes one direction.
@@ -161,6 +170,7 @@
                 *left -= chunk.len();
             }
             let rate = net.borrow().get(from, to).rate;
+            net.borrow_mut().bytes += chunk.len() as u64;
             let piece = if rate == 0 { chunk.len() } else { (rate / 50).max(1) as usize };
             for piece in chunk.chunks(piece) {
                 if write.write_all(piece).await.is_err() {
--- a/crates/cairncrank-lab/src/fleet/standin_discovery.rs
+++ b/crates/cairncrank-lab/src/fleet/standin_discovery.rs
@@ -35,6 +35,8 @@
     since: BTreeMap<usize, u64>,
     asked: u64,
     watches: u64,
+    calls: u64,
+    told: u64,
     silent: bool,
 }
 
@@ -66,8 +68,7 @@
 
     /// Adds a worker that has just started.
     pub fn add_cold(&self, zone: &str, worker: usize, address: SocketAddr) {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.shared.borrow_mut().since.insert(worker, unix.as_millis() as u64);
+        self.started(worker);
         self.put(zone, worker, "in_service", &address.to_string());
     }
 
@@ -76,6 +77,22 @@
         self.put("north", worker, phase, &format!("127.0.0.1:{}", 9 + worker));
     }
 
+    /// Lets a worker that was added drain, end, or come back as one that has just started, by its phase.
+    pub fn turn(&self, worker: usize, phase: &str) {
+        let entry = self.shared.borrow().workers.get(&format!("w-{worker:04}")).cloned();
+        let Some((_, entry)) = entry else { return };
+        if phase == "in_service" {
+            self.started(worker);
+        }
+        let text = |key: &str| entry[key].as_str().unwrap_or_default().to_owned();
+        self.put(&text("locality"), worker, phase, &text("host_port"));
+    }
+
+    fn started(&self, worker: usize) {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        self.shared.borrow_mut().since.insert(worker, unix.as_millis() as u64);
+    }
+
     fn put(&self, zone: &str, worker: usize, phase: &str, address: &str) {
         let mut shared = self.shared.borrow_mut();
         shared.revision += 1;
@@ -96,6 +113,12 @@
         (shared.asked, shared.watches)
     }
 
+    /// Requests so far, and messages sent in answer to them.
+    pub fn calls(&self) -> (u64, u64) {
+        let shared = self.shared.borrow();
+        (shared.calls, shared.told)
+    }
+
     /// From now on it says nothing on open watches and answers no new ones, or speaks again.
     pub fn silent(&self, silent: bool) {
         self.shared.borrow_mut().silent = silent;
@@ -133,6 +156,7 @@
         loop {
             let Some(head) = http::head(&mut stream, &mut buffer, true, || {}).await? else { return Ok(()) };
             let _ = http::body(&mut stream, &mut buffer, &head).await?;
+            self.shared.borrow_mut().calls += 1;
             self.spoken().await;
             if head.path.contains("stream=1") {
                 let index = head.path.rsplit_once("index=").and_then(|(_, index)| index.parse().ok());
@@ -140,6 +164,7 @@
             }
             let whole = self.list(0).to_string();
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+            self.shared.borrow_mut().told += 1;
             stream.write_all(answer.as_bytes()).await?;
         }
     }
@@ -155,11 +180,15 @@
             if self.shared.borrow().revision > revision {
                 let line = self.list(revision).to_string();
                 revision = self.shared.borrow().revision;
+                self.shared.borrow_mut().told += 1;
                 stream.write_all(&chunk(&line)).await?;
             }
             tokio::select! {
                 _ = changed.wait_for(|now| *now > revision) => {}
-                () = tokio::time::sleep(QUIET) => stream.write_all(&chunk("")).await?,
+                () = tokio::time::sleep(QUIET) => {
+                    self.shared.borrow_mut().told += 1;
+                    stream.write_all(&chunk("")).await?;
+                }
                 // Whoever watches says nothing more: this is its end.
                 _ = stream.peek(&mut byte) => return Ok(()),
             }
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -77,6 +77,8 @@
 /// What a fleet is made of.
 #[derive(Debug, Clone, Copy)]
 pub struct Setup<'a> {
+    /// Three or five.
+    pub keepers: usize,
     /// Dispatchers.
     pub dispatchers: usize,
     /// What is added to their block `fleet`; none where they are members of none.
@@ -101,7 +103,7 @@
     /// The host that connections of this process come from.
     fn from(&self, name: Name) -> Ipv4Addr {
         let [a, b, c, _] = self.0.octets();
-        Ipv4Addr::new(a, b, c, 10 + name as u8)
+        Ipv4Addr::new(a, b, c, 10 + (name % 240) as u8)
     }
 
     fn next(&mut self) -> SocketAddr {
@@ -113,7 +115,7 @@
 /// The name of a dispatcher to the proxies, after those of the keepers.
 #[must_use]
 pub fn member(dispatcher: usize) -> Name {
-    4 + dispatcher
+    10 + dispatcher
 }
 
 /// A proxy before this address, where there are any, and where it is.
@@ -127,12 +129,18 @@
     Ok(door)
 }
 
+fn send(process: &Option<Process>, signal: Signal) -> Result<(), String> {
+    let id = process.as_ref().and_then(|process| i32::try_from(process.0.id()).ok());
+    let pid = id.and_then(Pid::from_raw).ok_or("it does not run")?;
+    kill_process(pid, signal).map_err(|error| error.to_string())
+}
+
 fn write(path: &Path, text: String) -> Result<(), String> {
     std::fs::write(path, text).map_err(fault(path.display()))
 }
 
 impl Together {
-    /// Sets three keepers and some dispatchers up below a folder and starts them. `config` is a dispatcher's, without
+    /// Sets keepers and dispatchers up below a folder and starts them. `config` is a dispatcher's, without
     /// name and addresses.
     ///
     /// # Errors
@@ -143,7 +151,7 @@
         mut config: Value,
         setup: Setup<'_>,
     ) -> Result<Together, String> {
-        let Setup { dispatchers, fleet: together, discoveries, proxied } = setup;
+        let Setup { keepers: count, dispatchers, fleet: together, discoveries, proxied } = setup;
         let (mut addresses, mut at) = (Addresses::new(), Vec::new());
         for discovery in discoveries {
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault("discovery"))?;
@@ -151,10 +159,10 @@
             spawn_local(discovery.clone().serve(listener));
         }
         let discovery = discoveries.first().cloned().ok_or("no discovery")?;
-        let doors: Vec<SocketAddr> = (0..3).map(|_| addresses.next()).collect();
+        let doors: Vec<SocketAddr> = (0..count).map(|_| addresses.next()).collect();
         let block =
             |(n, at): (usize, &SocketAddr)| format!("keeper \"{}\" {{\n  address = \"{at}\"\n}}\n", n + 1);
-        let names = (1..=3).chain((0..dispatchers).map(member));
+        let names = (1..=count).chain((0..dispatchers).map(member));
         let names = names.map(|name| (addresses.from(name).into(), name)).collect();
         let net = proxied.map(|seed| Net::new(names, seed));
         // What others are told of an address: the proxy before it, where there is one.
@@ -162,7 +170,7 @@
             (1..).zip(&doors).map(|(name, at)| before(net.as_ref(), name, *at)).collect();
         let seen = seen?;
         let keepers: String = seen.iter().enumerate().map(block).collect();
-        for n in 1..=3 {
+        for n in 1..=count {
             let serve = format!(
                 "serve {{\n  keeper = {n}\n  store = \"{}\"\n  listen = \"{}\"\n  bind = \"{}\"\n}}\n",
                 dir.join(format!("k{n}")).display(),
@@ -186,8 +194,8 @@
             config["listen"] = listen[n].to_string().into();
             config["console"] = consoles[n].to_string().into();
             config["discovery"] = at[n % at.len()].to_string().into();
-            let count = config["settings"]["balancers"].as_u64().unwrap_or(1).max(1);
-            config["settings"]["slot-no"] = (n as u64 % count).into();
+            let share = config["settings"]["balancers"].as_u64().unwrap_or(1).max(1);
+            config["settings"]["slot-no"] = (n as u64 % share).into();
             let zones = config["settings"]["azs"].as_array().map_or(1, Vec::len).max(1);
             config["settings"]["zone"] = (n % zones).into();
             config["seed"] = format!("{:016x}", n + 1).into();
@@ -207,14 +215,14 @@
             dir: dir.to_owned(),
             binaries,
             discovery,
-            keepers: (0..3).map(|_| None).collect(),
+            keepers: (0..count).map(|_| None).collect(),
             dispatchers: (0..dispatchers).map(|_| None).collect(),
             consoles,
             net,
             listen,
         };
         if together.is_some() {
-            (1..=3).try_for_each(|n| fleet.start_keeper(n))?;
+            (1..=count).try_for_each(|n| fleet.start_keeper(n))?;
         }
         (0..dispatchers).try_for_each(|n| fleet.start_dispatcher(n))?;
         Ok(fleet)
@@ -320,9 +328,21 @@
     /// # Errors
     /// It does not run.
     pub fn signal(&self, n: usize, signal: Signal) -> Result<(), String> {
-        let id = self.dispatchers[n].as_ref().and_then(|process| i32::try_from(process.0.id()).ok());
-        let pid = id.and_then(Pid::from_raw).ok_or("it does not run")?;
-        kill_process(pid, signal).map_err(|error| error.to_string())
+        send(&self.dispatchers[n], signal)
+    }
+
+    /// Sends a signal to keeper `n`, from one.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn signal_keeper(&self, n: usize, signal: Signal) -> Result<(), String> {
+        send(&self.keepers[n - 1], signal)
+    }
+
+    /// The numbers of the processes that run, of keepers and of dispatchers.
+    pub fn ids(&self) -> (Vec<u32>, Vec<u32>) {
+        let ids = |all: &[Option<Process>]| all.iter().flatten().map(|process| process.0.id()).collect();
+        (ids(&self.keepers), ids(&self.dispatchers))
     }
 
     /// Names another discovery in the configuration of dispatcher `n` and tells it to read that again.
--- a/crates/cairncrank-lab/src/fleet/waits.rs
+++ b/crates/cairncrank-lab/src/fleet/waits.rs
@@ -116,6 +116,7 @@
         spawn_local(work(listener));
     }
     let setup = Setup {
+        keepers: 3,
         dispatchers: DISPATCHERS,
         fleet: (arm != Arm::Off).then_some(""),
         discoveries: &[discovery],
@@ -227,7 +228,7 @@
         beats.tick().await;
         count += 1;
         let start = Instant::now();
-        let status = timeout(PATIENCE, ask(&mut kept, address, connection << 32 | count)).await;
+        let status = timeout(PATIENCE, ask(&mut kept, address, ("lookup", connection << 32 | count))).await;
         let status = status.ok().and_then(Result::ok);
         if status.is_none() {
             kept = None;
@@ -245,14 +246,19 @@
     }
 }
 
-pub(super) async fn ask(kept: &mut Option<TcpStream>, address: SocketAddr, id: u64) -> std::io::Result<u16> {
+/// Hands in a job of a class on a connection that was kept, or a new one, and returns the answer's status.
+pub(super) async fn ask(
+    kept: &mut Option<TcpStream>,
+    address: SocketAddr,
+    (class, id): (&str, u64),
+) -> std::io::Result<u16> {
     let mut stream = match kept.take() {
         Some(stream) => stream,
         None => TcpStream::connect(address).await?,
     };
     stream.set_nodelay(true)?;
     let text = format!(
-        "POST /lookup HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nTenant: web\r\nContent-Length: 1\r\n\r\n?"
+        "POST /{class} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nTenant: web\r\nContent-Length: 1\r\n\r\n?"
     );
     stream.write_all(text.as_bytes()).await?;
     let mut buffer = BytesMut::new();
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -15,6 +15,7 @@
 use cairncrank_lab::fleet::rig::Programs;
 use cairncrank_lab::fleet::together::Binaries;
 use cairncrank_lab::fleet::watching;
+use cairncrank_lab::fleet::worth;
 use cairncrank_lab::report::{compare, Results};
 use cairncrank_lab::run::{socket_runs, virtual_runs};
 use cairncrank_lab::spec::{self, Experiment};
@@ -80,6 +81,21 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Measures what discovery, workers and the network are asked by idle dispatchers, as members and sharing nothing.
+    Worth {
+        /// Dispatchers, one measurement for each.
+        #[arg(long, value_delimiter = ',', default_value = "8,48", value_parser = clap::value_parser!(u16).range(1..=400))]
+        members: Vec<u16>,
+        /// How long each side is measured, in seconds.
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(4..=600))]
+        length_s: u64,
+        /// Members share the list only, and do not watch workers.
+        #[arg(long)]
+        list_only: bool,
+        /// The folder for what the processes leave, and worth.json.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Lets dispatchers watch workers for each other while faults happen, with clients whose jobs are accounted for.
     Watching(WatchingArgs),
     /// Replaces most workers by cold ones, with and without one owner who hands out what these bear, side by side.
@@ -167,6 +183,12 @@
     /// How often a fault begins, in seconds.
     #[arg(long, default_value_t = 5.0)]
     every_s: f64,
+    /// Keepers, 3 or 5; 0 for 3 and 5 in turn.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(0..=5))]
+    keepers: u16,
+    /// Jobs a second at each dispatcher.
+    #[arg(long, default_value_t = 40.0)]
+    rate: f64,
     /// Dispatchers.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
     dispatchers: u16,
@@ -258,6 +280,23 @@
     Ok(())
 }
 
+fn worth(members: &[u16], length: Duration, list_only: bool, out: &Path) -> Result<(), String> {
+    let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
+    let block = if list_only { "" } else { "watch {\n  sets = 6\n}\n" };
+    let mut sides: BTreeMap<String, worth::Side> = BTreeMap::new();
+    for count in members {
+        for (name, fleet) in [("nothing shared", None), ("members", Some(block))] {
+            let dir = out.join(format!("{count}-{}", fleet.map_or("off", |_| "on")));
+            let side = worth::play(&dir, &binaries, (*count).into(), fleet, length)?;
+            println!("{count} {name}: {side:?}");
+            sides.insert(format!("{count} {name}"), side);
+        }
+    }
+    let text = serde_json::to_string_pretty(&sides).map_err(|error| error.to_string())?;
+    let file = out.join("worth.json");
+    std::fs::write(&file, text).map_err(|error| format!("{}: {error}", file.display()))
+}
+
 fn watching(args: &WatchingArgs) -> Result<(), String> {
     let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
     let base = watching::Plan {
@@ -267,6 +306,7 @@
         every: Duration::from_secs_f64(args.every_s.max(0.5)),
         only_kills: args.only_kills,
         watch: !args.off,
+        rate: args.rate.clamp(0.1, 1_000.0),
         flaw: args.seeded_bug.clone(),
         ..watching::Plan::default()
     };
@@ -274,7 +314,13 @@
     let pool = pool.map_err(|error| error.to_string())?;
     let one = |seed: u64| {
         let dir = args.out.join(format!("seed-{seed}"));
-        watching::play(&dir, &binaries, &watching::Plan { seed, ..base.clone() }).map(|played| (seed, played))
+        let keepers = match args.keepers {
+            0 if seed % 2 == 0 => 3,
+            0 => 5,
+            keepers => keepers.into(),
+        };
+        watching::play(&dir, &binaries, &watching::Plan { seed, keepers, ..base.clone() })
+            .map(|played| (seed, played))
     };
     let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
     let played: Result<BTreeMap<u64, watching::Watched>, String> =
@@ -433,6 +479,9 @@
                 joining::Plan { dispatchers: dispatchers.into(), rate, kill, ..joining::Plan::default() };
             joining((seed, seeds), &plan, &out)
         }
+        Command::Worth { members, length_s, list_only, out } => {
+            worth(&members, Duration::from_secs(length_s), list_only, &out)
+        }
         Command::Watching(args) => watching(&args),
         Command::LightMember { file } => light::run(&file),
         Command::Hours { hours, seed, skew_ppm, seeded_bug } => {
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -19,6 +19,7 @@
     let binaries = Binaries::beside_tests().unwrap();
     let discovery = Discovery::new(WORKERS);
     let setup = Setup {
+        keepers: 3,
         dispatchers: DISPATCHERS,
         fleet: together.then_some(""),
         discoveries: &[discovery],
--- a/crates/cairncrank-lab/tests/watching.rs
+++ b/crates/cairncrank-lab/tests/watching.rs
@@ -4,7 +4,7 @@
 
 use cairncrank_lab::fleet::joining;
 use cairncrank_lab::fleet::together::Binaries;
-use cairncrank_lab::fleet::watching::{play, Plan, Watched, RULES};
+use cairncrank_lab::fleet::watching::{play, Fault, Plan, Watched, RULES};
 
 fn played(plan: &Plan) -> Watched {
     let dir = tempfile::tempdir().unwrap();
@@ -20,6 +20,34 @@
     assert!(played.faults["kill"] >= 2 && played.probes > 200, "{played:#?}");
 }
 
+/// Found by seed 208: sets were cut by the worker's number alone, so one had two workers of two zones, and its owner
+/// could not tell a worker that hung from the way to its zone.
+#[test]
+fn a_worker_that_hangs_is_known_everywhere_whichever_set_it_is_in() {
+    let script = &[(Fault::Hang, 3, 0)];
+    let plan =
+        Plan { dispatchers: 8, rate: 20.0, length: Duration::from_secs(18), script, ..Plan::default() };
+    let played = played(&plan);
+    assert!(played.rules.is_empty(), "{:#?}", played.rules);
+    assert_eq!((played.faults["hang"], played.known_after_ms.len()), (1, 8), "{played:#?}");
+}
+
+/// Five keepers, and what they and the workers go through at once: a worker that drains and comes back cold, a leader
+/// that is stopped, all keepers killed, everything started anew in turn.
+#[test]
+fn jobs_and_workers_keep_their_rules_while_keepers_and_dispatchers_are_started_anew() {
+    let script = &[
+        (Fault::Drain, 0, 0),
+        (Fault::StopLeader, 0, 0),
+        (Fault::KillAllKeepers, 0, 0),
+        (Fault::Roll, 0, 0),
+    ];
+    let plan = Plan { keepers: 5, length: Duration::from_secs(34), script, ..Plan::default() };
+    let played = played(&plan);
+    assert!(played.rules.is_empty(), "{:#?}", played.rules);
+    assert!(played.faults.len() == 4 && played.jobs_at_cold > 0, "{played:#?}");
+}
+
 #[test]
 fn an_owner_that_does_not_wait_is_found_by_the_checker() {
     let flaw = Some("no-wait".to_owned());
