--- a/crates/cairncrank-duty/src/command.rs
+++ b/crates/cairncrank-duty/src/command.rs
@@ -5,7 +5,7 @@
 use crate::{DutyId, Revision, SessionId, Token};
 
 /// The version that this program writes. An entry of a higher one stops the keeper: it may not be skipped.
-pub const COMMAND_VERSION: u16 = 2;
+pub const COMMAND_VERSION: u16 = 3;
 
 /// A change of the state, as agreed on.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -83,13 +83,15 @@
         /// The one that went.
         old: u64,
     },
+    /// The account of who may be out changes. Since version 3.
+    Account(cairncrank_release::Change),
 }
 
 /// An entry that this program cannot apply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommandFault {
-    /// Written by a later version.
-    Later(u16),
+    /// Written by a later version than this one knows.
+    Later(u16, u16),
     /// Not what a keeper writes.
     Malformed(String),
 }
@@ -97,10 +99,10 @@
 impl std::fmt::Display for CommandFault {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            CommandFault::Later(version) => write!(
+            CommandFault::Later(version, knows) => write!(
                 f,
-                "an entry has version {version} and this keeper knows up to {COMMAND_VERSION}: it stops rather than \
-                 skip what was agreed; run a newer keeper"
+                "an entry has version {version} and this keeper knows up to {knows}: it stops rather than skip what was \
+                 agreed; run a newer keeper"
             ),
             CommandFault::Malformed(why) => write!(f, "an entry cannot be read: {why}"),
         }
@@ -116,8 +118,9 @@
     }
 
     /// The first version that knows it: keepers of the version before read on until something new is agreed on.
-    fn version(&self) -> u16 {
+    pub fn version(&self) -> u16 {
         match self {
+            Command::Account(_) => 3,
             Command::ReplaceKeeper { .. } | Command::KeeperReplaced { .. } => 2,
             _ => 1,
         }
@@ -125,10 +128,15 @@
 
     /// Reads an entry.
     pub fn decode(bytes: &[u8]) -> Result<Command, CommandFault> {
+        Command::decode_up_to(COMMAND_VERSION, bytes)
+    }
+
+    /// The same by a keeper that knows entries up to this version.
+    pub fn decode_up_to(knows: u16, bytes: &[u8]) -> Result<Command, CommandFault> {
         let malformed = |error: postcard::Error| CommandFault::Malformed(error.to_string());
         let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(malformed)?;
-        if version > COMMAND_VERSION {
-            return Err(CommandFault::Later(version));
+        if version > knows {
+            return Err(CommandFault::Later(version, knows));
         }
         match postcard::take_from_bytes(rest).map_err(malformed)? {
             (command, []) => Ok(command),
--- a/crates/cairncrank-duty/src/machine.rs
+++ b/crates/cairncrank-duty/src/machine.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use cairncrank_release::census::ACCOUNT;
+use cairncrank_release::{Account, Change};
 use serde::{Deserialize, Serialize};
 
 use crate::{Command, DutyId, Revision, Scope, SessionId, Token};
@@ -12,7 +14,7 @@
 /// How many processes of one name are remembered, so that an old one is known when it comes again.
 const OLD_BOOTS: usize = 8;
 /// The version of the snapshot.
-const SNAPSHOT_VERSION: u16 = 2;
+const SNAPSHOT_VERSION: u16 = 3;
 
 /// A member that is there.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -81,6 +83,12 @@
     /// Stands behind the rest in a snapshot, and only where there is something of it.
     #[serde(skip)]
     changes: Changes,
+    /// Who may be out, since version 3. Stands behind the rest in the same way.
+    #[serde(skip)]
+    account: Account,
+    /// The last entry that changed it; after a restart, the snapshot's.
+    #[serde(skip)]
+    account_revision: Revision,
 }
 
 /// What is agreed on of keepers that came later, since version 2.
@@ -115,6 +123,8 @@
     Granted(DutyId, Owner),
     /// The term is over.
     Released(DutyId, Token),
+    /// What became of a change of the account.
+    Account(cairncrank_release::Outcome),
     /// Noted.
     Noted,
     /// Not done, and nothing was changed.
@@ -207,6 +217,8 @@
             duties: BTreeMap::new(),
             keepers: BTreeMap::new(),
             changes: Changes::default(),
+            account: Account::default(),
+            account_revision: 0,
         }
     }
 
@@ -255,6 +267,22 @@
         self.changes.replacing
     }
 
+    /// Who may be out.
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// The same with a flaw in the account, in builds for tests.
+    #[must_use]
+    pub fn with_account_flaw(self, flaw: Option<cairncrank_release::Flaw>) -> State {
+        State { account: self.account.with_flaw(flaw), ..self }
+    }
+
+    /// The last entry that changed who may be out.
+    pub fn account_revision(&self) -> Revision {
+        self.account_revision
+    }
+
     /// How many short lives in a row a member of this name had.
     pub fn short_lives(&self, name: &str) -> u8 {
         self.names.get(name).map_or(0, |name| name.short_lives)
@@ -324,6 +352,17 @@
                 *seen = *boots;
                 Outcome::Noted
             }
+            Command::Account(change) => {
+                // An observation counts while its term is the running one, and at no other time.
+                if let Change::Observe { token, .. } = change {
+                    let owner = self.duties.get(&DutyId::fleet(ACCOUNT)).and_then(|duty| duty.owner);
+                    if owner.is_none_or(|owner| owner.token != Token(*token)) {
+                        return Outcome::Refused(Reason::NotTheOwner);
+                    }
+                }
+                self.account_revision = index;
+                Outcome::Account(self.account.apply(index, change))
+            }
             Command::ReplaceKeeper { old, new, address } => self.replace(*old, *new, address),
             Command::KeeperReplaced { old } => {
                 if self.changes.replacing.is_some_and(|replacing| replacing.old == *old) {
@@ -493,10 +532,14 @@
 
     /// The bytes of a snapshot: its version, then all.
     pub fn snapshot(&self) -> Vec<u8> {
-        let packed = match self.changes == Changes::default() {
-            // As version 1 wrote it.
-            true => postcard::to_stdvec(&(1u16, self)),
-            false => postcard::to_stdvec(&(SNAPSHOT_VERSION, self, &self.changes)),
+        // Each part as the first version that knew it wrote it, so that keepers of an older one read on.
+        let (changes, account) = (&self.changes, &self.account);
+        let packed = if *account != Account::default() {
+            postcard::to_stdvec(&(SNAPSHOT_VERSION, self, changes, account))
+        } else if *changes != Changes::default() {
+            postcard::to_stdvec(&(2u16, self, changes))
+        } else {
+            postcard::to_stdvec(&(1u16, self))
         };
         packed.unwrap_or_default()
     }
@@ -507,10 +550,16 @@
         let (version, rest): (u16, _) = postcard::take_from_bytes(bytes).map_err(fault)?;
         match version {
             1 => postcard::from_bytes(rest).map_err(fault),
-            SNAPSHOT_VERSION => {
+            2 => {
                 let (state, changes): (State, Changes) = postcard::from_bytes(rest).map_err(fault)?;
                 Ok(State { changes, ..state })
             }
+            SNAPSHOT_VERSION => {
+                let (state, changes, account): (State, Changes, Account) =
+                    postcard::from_bytes(rest).map_err(fault)?;
+                let account_revision = state.revision;
+                Ok(State { changes, account, account_revision, ..state })
+            }
             _ => {
                 Err(SnapshotFault(format!("it has version {version}, this keeper knows {SNAPSHOT_VERSION}")))
             }
--- a/crates/cairncrank-duty/tests/agreement.rs
+++ b/crates/cairncrank-duty/tests/agreement.rs
@@ -277,8 +277,8 @@
     let command = Command::Leave { session: a, short: true };
     assert_eq!(Command::decode(&command.encode()), Ok(command.clone()));
     let mut later = command.encode();
-    later[0] = 3;
-    assert_eq!(Command::decode(&later), Err(CommandFault::Later(3)));
+    later[0] = 4;
+    assert_eq!(Command::decode(&later), Err(CommandFault::Later(4, 3)));
     let mut long = command.encode();
     long.push(0);
     assert!(matches!(Command::decode(&long), Err(CommandFault::Malformed(_))));
@@ -295,11 +295,47 @@
     assert!(matches!(fleet.apply(SECOND, &back), Outcome::Refused(Reason::Keepers(_))), "a number of old");
     assert_eq!(fleet.state.snapshot()[0], 2);
     assert_eq!(State::restore(&fleet.state.snapshot()), Ok(fleet.state.clone()));
+    let target = cairncrank_release::Target { kind: cairncrank_release::Kind::Worker, name: "w".into() };
+    let ask = cairncrank_release::Change::Ask { target, reason: "r".into(), asker: "a".into(), force: false };
+    let ask = Command::Account(ask);
+    assert_eq!(ask.encode()[0], 3);
+    assert_eq!(Command::decode_up_to(2, &ask.encode()), Err(CommandFault::Later(3, 2)));
+    assert!(matches!(fleet.apply(SECOND, &ask), Outcome::Account(_)));
+    assert_eq!(fleet.state.snapshot()[0], 3);
+    let again = State::restore(&fleet.state.snapshot()).unwrap();
+    assert_eq!((again.account(), again.digest()), (fleet.state.account(), fleet.state.digest()));
     let mut snapshot = fleet.state.snapshot();
     snapshot[0] = 7;
     assert!(State::restore(&snapshot).unwrap_err().to_string().contains("version 7"));
 }
 
+/// The account takes the word of whoever observes in the running term, and of nobody else.
+#[test]
+fn an_observation_of_another_term_is_refused() {
+    use cairncrank_release::{census::ACCOUNT, Change};
+    let mut fleet = Fleet::new();
+    let observe = |token| Command::Account(Change::Observe { token, seen: 0, targets: vec![], gone: vec![] });
+    assert_eq!(fleet.apply(SECOND, &observe(1)), Outcome::Refused(Reason::NotTheOwner), "nobody owns it");
+    let join = Command::Join {
+        name: "a".into(),
+        boot: 1,
+        zone: String::new(),
+        address: String::new(),
+        offers: vec![DutyId::fleet(ACCOUNT)],
+        short: false,
+    };
+    let Outcome::Joined(session, _) = fleet.apply(SECOND, &join) else { panic!("no session") };
+    fleet.apply(SECOND, &Command::Settle { session });
+    let fenced = fleet.state.duties()[&DutyId::fleet(ACCOUNT)].fenced;
+    let grant = Command::Grant { duty: DutyId::fleet(ACCOUNT), session, fenced };
+    let Outcome::Granted(_, owner) = fleet.apply(SECOND, &grant) else { panic!("not granted") };
+    assert!(matches!(fleet.apply(SECOND, &observe(owner.token.0)), Outcome::Account(_)));
+    let late = fleet.apply(SECOND, &observe(owner.token.0 - 1));
+    assert_eq!(late, Outcome::Refused(Reason::NotTheOwner));
+    fleet.apply(SECOND, &Command::End { session, short: false });
+    assert_eq!(fleet.apply(SECOND, &observe(owner.token.0)), Outcome::Refused(Reason::NotTheOwner));
+}
+
 #[test]
 fn times_that_do_not_fit_name_both_keys() {
     let good = Times::default();
--- a/crates/cairncrank-fleet/src/lib.rs
+++ b/crates/cairncrank-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod cold;
 pub mod effects;
+pub mod keepers;
 pub mod list;
 pub mod member;
 pub mod record;
--- a/crates/cairncrank-fleet/src/member.rs
+++ b/crates/cairncrank-fleet/src/member.rs
@@ -345,7 +345,9 @@
             }
             Answer::Refused(Reason::NoSession) => self.holder.borrow_mut().gone(),
             Answer::Refused(reason) => return Some(Next::End(Ended::Refused(reason.to_string()))),
-            Answer::Busy | Answer::Done | Answer::Status(_) => return Some(Next::Elsewhere(None)),
+            Answer::Busy | Answer::Done | Answer::Status(_) | Answer::Account(..) | Answer::Changed(_) => {
+                return Some(Next::Elsewhere(None))
+            }
         }
         self.changed.send_modify(|count| *count += 1);
         None
--- a/crates/cairncrank-fleet/src/wire.rs
+++ b/crates/cairncrank-fleet/src/wire.rs
@@ -6,14 +6,18 @@
 
 use bytes::{Bytes, BytesMut};
 use cairncrank_duty::{DutyId, Reason, Refusal, Revision, SessionId, Token, View};
+use cairncrank_release::{Account, Change, Outcome};
 use futures_util::{SinkExt, StreamExt};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// The version of these messages. Both ends of a connection have the same.
-pub const SCHEMA: u16 = 2;
+/// The version of these messages, and the oldest that is still spoken with whoever knows no later one. What a later
+/// version adds is not said to an end of an older one, which would not have asked for it.
+pub const SCHEMA: u16 = 3;
+/// See [`SCHEMA`].
+pub const OLDEST_SCHEMA: u16 = 2;
 /// The longest frame, in bytes.
 pub const LONGEST_FRAME: usize = 4 << 20;
 /// The longest frame before the other end is known, in bytes.
@@ -81,9 +85,9 @@
 /// Why somebody is turned away.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Turned {
-    /// Another version of the messages.
+    /// A later version of the messages.
     Schema {
-        /// The one spoken here.
+        /// The latest that is spoken here.
         ours: u16,
     },
     /// Another installation.
@@ -111,7 +115,7 @@
 impl std::fmt::Display for Turned {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Turned::Schema { ours } => write!(f, "it speaks version {ours} of the messages, this program {SCHEMA}"),
+            Turned::Schema { ours } => write!(f, "it speaks version {ours} of the messages, this program {OLDEST_SCHEMA} to {SCHEMA}"),
             Turned::Installation { ours } => write!(f, "it belongs to installation {ours:?}"),
             Turned::Stranger => write!(f, "it knows no keeper of this number"),
             Turned::WrongDisk => write!(f, "it knows this keeper with another disk; set the keeper up as a new one"),
@@ -183,6 +187,13 @@
         /// Where the new one is reached.
         address: String,
     },
+    /// Who may be out, where that has changed since. Since version 3.
+    Account {
+        /// The entry up to which the asker knows it.
+        known: Revision,
+    },
+    /// The account is to change. Since version 3.
+    Change(Change),
 }
 
 /// What a keeper says.
@@ -228,6 +239,10 @@
     Refused(Reason),
     /// How things are.
     Status(Box<Status>),
+    /// Who may be out, as of this entry; nothing where the asker knows it.
+    Account(Revision, Option<Box<Account>>),
+    /// What became of a change of the account.
+    Changed(Outcome),
 }
 
 /// A member as others reach it.
@@ -370,12 +385,21 @@
     /// # Errors
     /// Nobody is there, it takes too long, or the other end turned this one away (`PermissionDenied`).
     pub async fn connect(to: SocketAddr, from: Option<IpAddr>, hello: &Hello) -> io::Result<(Link, String)> {
-        match tokio::time::timeout(PATIENCE, Link::enter(to, from, hello)).await? {
-            Ok((link, Welcome::Fine { name })) => Ok((link, name)),
-            Ok((_, Welcome::Turned(why))) => {
-                Err(io::Error::new(io::ErrorKind::PermissionDenied, TurnedAway(why)))
+        let mut hello = hello.clone();
+        loop {
+            match tokio::time::timeout(PATIENCE, Link::enter(to, from, &hello)).await? {
+                Ok((link, Welcome::Fine { name })) => return Ok((link, name)),
+                // One of an older version: spoken with in its own, where that is still known here.
+                Ok((_, Welcome::Turned(Turned::Schema { ours })))
+                    if (OLDEST_SCHEMA..hello.schema).contains(&ours) =>
+                {
+                    hello.schema = ours;
+                }
+                Ok((_, Welcome::Turned(why))) => {
+                    return Err(io::Error::new(io::ErrorKind::PermissionDenied, TurnedAway(why)));
+                }
+                Err(error) => return Err(error),
             }
-            Err(error) => Err(error),
         }
     }
 
@@ -489,8 +513,13 @@
 
 /// What is wrong with a greeting, if anything.
 pub fn check_hello(hello: &Hello, installation: &str) -> Result<(), Turned> {
-    if hello.schema != SCHEMA {
-        return Err(Turned::Schema { ours: SCHEMA });
+    check_hello_of(SCHEMA, hello, installation)
+}
+
+/// The same at an end that speaks no later version than this.
+pub fn check_hello_of(ours: u16, hello: &Hello, installation: &str) -> Result<(), Turned> {
+    if !(OLDEST_SCHEMA..=ours).contains(&hello.schema) {
+        return Err(Turned::Schema { ours });
     }
     match hello.installation == installation {
         true => Ok(()),
--- a/crates/cairncrank-keeper/src/config.rs
+++ b/crates/cairncrank-keeper/src/config.rs
@@ -6,7 +6,9 @@
 
 use cairncrank_duty::Times;
 use cairncrank_fleet::settings;
-use cairncrank_hcl::{Fault, Section};
+use cairncrank_fleet::wire::{OLDEST_SCHEMA, SCHEMA};
+use cairncrank_hcl::{Fault, Section, Value};
+use cairncrank_release::{Amount, Budget, Cover, Kind};
 
 /// A keeper's configuration.
 #[derive(Debug, Clone)]
@@ -36,6 +38,10 @@
     pub bind: Option<IpAddr>,
     /// The most connections at once.
     pub connections: usize,
+    /// A flaw put in on purpose, in a build for such tests.
+    pub flaw: Option<cairncrank_release::Flaw>,
+    /// The version of the messages that it speaks, and of the entries that it knows.
+    pub speaks: u16,
 }
 
 /// Reads a file.
@@ -80,6 +86,87 @@
         listen,
         store: settings::wanted(section, "store")?.into(),
         bind: bind.transpose()?,
+        flaw: flaw(section)?,
+        speaks: section
+            .whole("speaks", u64::from(OLDEST_SCHEMA)..=u64::from(SCHEMA))?
+            .map_or(SCHEMA, |speaks| speaks as u16),
         connections: section.whole("connections", 8..=65_536)?.unwrap_or(1_024) as usize,
     })
 }
+
+/// A flaw put in on purpose. Only a build for such tests knows the key.
+#[cfg(feature = "seeded-bugs")]
+fn flaw(section: &Section) -> Result<Option<cairncrank_release::Flaw>, Fault> {
+    let Some(name) = section.text("flaw")? else { return Ok(None) };
+    let known = cairncrank_release::Flaw::names().iter().find(|(known, _)| *known == name);
+    known
+        .map(|(_, flaw)| Some(*flaw))
+        .ok_or_else(|| section.fault("flaw", format!("there is no flaw {name:?}")))
+}
+
+#[cfg(not(feature = "seeded-bugs"))]
+fn flaw(_: &Section) -> Result<Option<cairncrank_release::Flaw>, Fault> {
+    Ok(None)
+}
+
+/// Reads a file of budgets.
+///
+/// # Errors
+/// It cannot be read, or a budget is wrong; the text names file, line and key.
+pub fn read_budgets(path: &Path) -> Result<Vec<Budget>, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    budgets(&path.display().to_string(), &text).map_err(|fault| fault.to_string())
+}
+
+/// Reads a text of blocks `budget "NAME"`; `file` is its name in faults.
+///
+/// # Errors
+/// One is wrong, or a name stands there twice.
+pub fn budgets(file: &str, text: &str) -> Result<Vec<Budget>, Fault> {
+    let top = Section::parse(file, text)?;
+    let mut budgets: Vec<Budget> = Vec::new();
+    for section in top.sections("budget") {
+        let name = section.label().to_owned();
+        if name.is_empty() || name.len() > 128 || budgets.iter().any(|budget| budget.name == name) {
+            return Err(section.fault("", "wanted a label of 1 to 128 bytes that no other budget has"));
+        }
+        let kind =
+            section.word("targets", &[("dispatchers", Kind::Dispatcher), ("workers", Kind::Worker)])?;
+        let kind = kind.ok_or_else(|| section.fault("targets", "is missing: dispatchers or workers"))?;
+        let cover = match section.text("of")?.as_deref() {
+            None | Some("fleet") => Cover::Fleet,
+            Some("each-zone") => Cover::EachZone,
+            Some("each-pool") => Cover::EachPool,
+            Some(other) => match other.split_once('/') {
+                Some(("zone", zone)) if !zone.is_empty() => Cover::Zone(zone.to_owned()),
+                Some(("pool", pool)) if !pool.is_empty() => Cover::Pool(pool.to_owned()),
+                _ => {
+                    let wanted = "wanted fleet, each-zone, zone/NAME, each-pool or pool/NAME";
+                    return Err(section.fault("of", format!("{other:?}: {wanted}")));
+                }
+            },
+        };
+        let (most_out, least_in) = (amount(section, "most_out")?, amount(section, "least_in")?);
+        let budget = Budget { name, kind, cover, most_out, least_in };
+        budget.check().map_err(|fault| section.fault(fault.key, fault.why))?;
+        budgets.push(budget);
+    }
+    top.finish()?;
+    Ok(budgets)
+}
+
+/// A number of targets, or a part of them such as `"10%"`.
+fn amount(section: &Section, key: &str) -> Result<Option<Amount>, Fault> {
+    let Some(value) = section.value(key) else { return Ok(None) };
+    if !matches!(value, Value::Text(_)) {
+        return Ok(section.whole(key, 0..=100_000)?.map(|count| Amount::Count(count as u32)));
+    }
+    let text = section.text(key)?.unwrap_or_default();
+    let percent = text.strip_suffix('%').and_then(|number| number.trim().parse().ok());
+    match percent.filter(|percent| *percent <= 100u32) {
+        Some(percent) => Ok(Some(Amount::Percent(percent))),
+        None => {
+            Err(section.fault(key, format!("{text:?} is no part; wanted a number or \"0%\" to \"100%\"")))
+        }
+    }
+}
--- a/crates/cairncrank-keeper/src/ctl.rs
+++ b/crates/cairncrank-keeper/src/ctl.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use cairncrank_duty::{DutyId, Token};
+use cairncrank_fleet::keepers::Keepers;
 use cairncrank_fleet::wire::{Answer, Ask, FromKeeper, Hello, Link, Request, Status, Who, SCHEMA};
+use cairncrank_release::{Account, Change, Condition, Outcome};
 use tokio::time::timeout;
 
 use crate::config::Config;
@@ -102,6 +104,110 @@
     Err(format!("keeper {old} is not replaced after a minute: {why}"))
 }
 
+/// Asks the keeper that leads.
+async fn ask_leader(config: &Config, ask: Ask) -> Result<Answer, String> {
+    let mut keepers = Keepers::new(&config.installation, Who::Operator, config.keepers.clone(), None);
+    let answer = keepers.ask(&ask, tokio::time::Instant::now() + CALL).await;
+    answer.map_err(|why| format!("{why}: a majority of the keepers has to be there and reach each other"))
+}
+
+/// Who may be out, and the entry of the log as of which that is.
+///
+/// # Errors
+/// Nobody leads.
+pub async fn account(config: &Config) -> Result<(u64, Account), String> {
+    // Nothing is known yet: an account that never changed is an empty one.
+    match ask_leader(config, Ask::Account { known: 0 }).await? {
+        Answer::Account(revision, account) => {
+            Ok((revision, account.map_or_else(Account::default, |all| *all)))
+        }
+        other => Err(format!("an answer that was not asked for: {other:?}")),
+    }
+}
+
+/// Changes the account.
+///
+/// # Errors
+/// Nobody leads, or it is refused.
+pub async fn change(config: &Config, change: Change) -> Result<Outcome, String> {
+    match ask_leader(config, Ask::Change(change)).await? {
+        Answer::Changed(Outcome::Refused(why)) => Err(why.to_string()),
+        Answer::Changed(outcome) => Ok(outcome),
+        Answer::Refused(reason) => Err(reason.to_string()),
+        other => Err(format!("an answer that was not asked for: {other:?}")),
+    }
+}
+
+/// The account for programs.
+pub fn account_json(account: &Account) -> serde_json::Value {
+    let (version, _) = account.budgets();
+    let budgets = account.sums().into_iter().map(|(budget, place, sum)| {
+        serde_json::json!({
+            "budget": budget.name, "place": place, "targets": sum.targets,
+            "out_by_plan": sum.by_plan as f64 / 1e3, "out_otherwise": sum.unplanned as f64 / 1e3,
+        })
+    });
+    let permits = account.permits().iter().map(|(id, permit)| {
+        serde_json::json!({
+            "permit": id, "target": permit.target.to_string(), "state": format!("{:?}", permit.state).to_lowercase(),
+            "asker": permit.asker, "reason": permit.reason, "done": permit.done.is_some(), "forced": permit.forced,
+            "held_by": account.held_by(*id).map(|budget| budget.name.clone()),
+        })
+    });
+    let targets = account.targets().map(|seen| {
+        serde_json::json!({
+            "target": seen.target.to_string(), "zone": seen.zone, "pool": seen.pool, "number": seen.incarnation,
+            "in": match seen.condition {
+                Condition::In => 1.0,
+                Condition::Out => 0.0,
+                Condition::Warming(part) => f64::from(part) / 1e3,
+            },
+        })
+    });
+    serde_json::json!({
+        "version": version, "forced": account.forced().count, "budgets": budgets.collect::<Vec<_>>(),
+        "permits": permits.collect::<Vec<_>>(), "targets": targets.collect::<Vec<_>>(),
+    })
+}
+
+/// The account for people.
+pub fn account_text(account: &Account) -> String {
+    let mut text = String::new();
+    let (version, budgets) = account.budgets();
+    let _ = writeln!(text, "budgets, version {version}:");
+    let part = |thousandths: u64| thousandths as f64 / 1e3;
+    for (budget, place, sum) in account.sums() {
+        let place = if place.is_empty() { String::new() } else { format!(" {place}") };
+        let (out, unplanned) = (part(sum.by_plan), part(sum.unplanned));
+        let _ = writeln!(
+            text,
+            "  {}{place}: {out} out by plan, {unplanned} otherwise, of {}",
+            budget.name, sum.targets
+        );
+    }
+    if budgets.is_empty() {
+        let _ = writeln!(text, "  none: every permit is granted while one other target is in");
+    }
+    for (id, permit) in account.permits() {
+        let held =
+            account.held_by(*id).map_or(String::new(), |budget| format!(", held by budget {}", budget.name));
+        let done = if permit.done.is_some() { ", done" } else { "" };
+        let forced = if permit.forced { ", forced" } else { "" };
+        let state = format!("{:?}", permit.state).to_lowercase();
+        let (target, asker, reason) = (&permit.target, &permit.asker, &permit.reason);
+        let _ = writeln!(text, "permit {id}: {target}, {state}{done}{forced}{held}; {asker}: {reason}");
+    }
+    for seen in account.targets().filter(|seen| seen.condition != Condition::In) {
+        let condition = match seen.condition {
+            Condition::Warming(part) => format!("warming, {} %", f64::from(part) / 10.0),
+            _ => "out".to_owned(),
+        };
+        let _ = writeln!(text, "{}: {condition}", seen.target);
+    }
+    let _ = writeln!(text, "forced so far: {}", account.forced().count);
+    text
+}
+
 /// Ends the running term of a duty; another member gets it.
 ///
 /// # Errors
--- a/crates/cairncrank-keeper/src/main.rs
+++ b/crates/cairncrank-keeper/src/main.rs
@@ -8,6 +8,7 @@
 use cairncrank_fleet::record::Recorder;
 use cairncrank_keeper::config::{self, Config};
 use cairncrank_keeper::{ctl, disk, serve, Stop};
+use cairncrank_release::{Change, Target};
 use lexopt::prelude::*;
 
 const HELP: &str = "\
@@ -20,6 +21,9 @@
   duties          who owns what, with which token
   release-duty    ends the running term of --duty NAME (with --token N only that one); another member gets it
   replace         --keeper NUMBER --with NEW --address IP:PORT: a new keeper takes the place of one that is gone or goes
+  account         who may be out: budgets and what they have to do with, permits, targets that are not in
+  budgets         --set FILE [--seen VERSION]: other budgets, HCL; refused where they were changed since that version
+  strike-off      --target KIND/NAME [--by WHO]: a target is gone for good, and its permits with it
   metrics         the figures of this keeper, for Prometheus, as text
   check-config    reads the configuration and says what is wrong with it
 
@@ -27,7 +31,7 @@
   --joining       with bootstrap: this keeper takes another's place in an installation that runs
   --record FILE   with serve: appends what was applied, a JSON object a line
   --log LEVEL     error, warn, info (the default), debug or trace
-  --json          with status, members and duties: JSON
+  --json          with status, members, duties and account: JSON
 
 Exit codes: 0 done, 1 fault, 2 bad usage, 3 the disk is an old copy or another's, 4 the store cannot be used,
 5 something was agreed on that this version does not know, 6 raft refused to go on, 7 replaced by another.
@@ -42,6 +46,10 @@
     keeper: Option<u64>,
     with: Option<u64>,
     address: Option<String>,
+    set: Option<PathBuf>,
+    seen: Option<u64>,
+    target: Option<Target>,
+    by: Option<String>,
     joining: bool,
     level: tracing::Level,
     json: bool,
@@ -58,6 +66,10 @@
         keeper: None,
         with: None,
         address: None,
+        set: None,
+        seen: None,
+        target: None,
+        by: None,
         joining: false,
         level: tracing::Level::INFO,
         json: false,
@@ -72,6 +84,10 @@
             Long("keeper") => args.keeper = Some(parser.value()?.parse()?),
             Long("with") => args.with = Some(parser.value()?.parse()?),
             Long("address") => args.address = Some(parser.value()?.string()?),
+            Long("set") => args.set = Some(parser.value()?.into()),
+            Long("seen") => args.seen = Some(parser.value()?.parse()?),
+            Long("target") => args.target = Some(parser.value()?.parse()?),
+            Long("by") => args.by = Some(parser.value()?.string()?),
             Long("joining") => args.joining = true,
             Long("log") => args.level = parser.value()?.parse()?,
             Long("json") => args.json = true,
@@ -101,7 +117,7 @@
             return ExitCode::SUCCESS;
         }
         "bootstrap" | "serve" | "status" | "members" | "duties" | "release-duty" | "replace" | "metrics"
-        | "check-config" => {}
+        | "check-config" | "account" | "budgets" | "strike-off" => {}
         other => {
             eprintln!("cairncrank-keeper: {other:?} is no command\n\n{HELP}");
             return ExitCode::from(2);
@@ -236,6 +252,33 @@
             ctl::replace(config, old, new, address).await.map_err(Stop::Start)?;
             Ok(format!("keeper {new} has taken the place of keeper {old}\n"))
         }
+        "account" => {
+            let (revision, account) = ctl::account(config).await.map_err(Stop::Start)?;
+            match args.json {
+                true => Ok(serde_json::json!({"revision": revision, "account": ctl::account_json(&account)})
+                    .to_string()
+                    + "\n"),
+                false => Ok(ctl::account_text(&account)),
+            }
+        }
+        "budgets" => {
+            let path = args.set.as_ref().ok_or_else(|| Stop::Start("--set FILE is missing".to_owned()))?;
+            let budgets = config::read_budgets(path).map_err(Stop::Start)?;
+            // Whoever does not say what version was seen has just looked.
+            let seen = match args.seen {
+                Some(seen) => seen,
+                None => ctl::account(config).await.map_err(Stop::Start)?.1.budgets().0,
+            };
+            let count = budgets.len();
+            ctl::change(config, Change::Budgets { seen, budgets }).await.map_err(Stop::Start)?;
+            Ok(format!("{count} budgets hold from now on\n"))
+        }
+        "strike-off" => {
+            let target = args.target.clone().ok_or_else(|| Stop::Start("--target is missing".to_owned()))?;
+            let by = args.by.clone().unwrap_or_else(|| "an operator".to_owned());
+            ctl::change(config, Change::Strike { target, by }).await.map_err(Stop::Start)?;
+            Ok(String::new())
+        }
         "metrics" => {
             let status = ctl::status(config, here(config)?.keeper).await;
             Ok(ctl::figures(&status.map_err(Stop::Start)?))
--- a/crates/cairncrank-keeper/src/node.rs
+++ b/crates/cairncrank-keeper/src/node.rs
@@ -7,10 +7,12 @@
 
 use cairncrank_duty::{
     Command, Micros, Outcome, Reason, Replacing, Revision, SessionId, State, Times, Token, Warden,
+    COMMAND_VERSION,
 };
 use cairncrank_fleet::wire::{
     Answer, Ask, Disk as Identity, DutyStatus, FromKeeper, MemberStatus, Peer, Request, Status, Turned,
 };
+use cairncrank_release::desk::Desk;
 use hdrhistogram::Histogram;
 use protobuf::Message as _;
 use raft::eraftpb::{
@@ -138,6 +140,12 @@
     conf_proposed: Option<Micros>,
     times: Times,
     warden: Option<Warden>,
+    flaw: Option<cairncrank_release::Flaw>,
+    desk: Desk,
+    voided: Micros,
+    /// The latest entries that this keeper knows, and the latest messages that others speak, of those that greeted it.
+    knows: u16,
+    schemas: BTreeMap<u64, u16>,
     peers: BTreeMap<u64, Identity>,
     peers_changed: Vec<Identity>,
     /// Which proposals are this process's: a number drawn at its start, and one counted.
@@ -225,6 +233,11 @@
             conf_proposed: None,
             times,
             warden: None,
+            flaw: None,
+            desk: Desk::default(),
+            voided: 0,
+            knows: COMMAND_VERSION,
+            schemas: BTreeMap::new(),
             peers,
             peers_changed: Vec::new(),
             nonce,
@@ -248,6 +261,17 @@
         Identity { term: self.raw.raft.term, ..self.identity }
     }
 
+    /// The account gets a flaw, in builds for tests.
+    pub fn account_flaw(&mut self, flaw: Option<cairncrank_release::Flaw>) {
+        self.flaw = flaw;
+        self.state = std::mem::replace(&mut self.state, State::new(1)).with_account_flaw(flaw);
+    }
+
+    /// This keeper is to be as one that knows entries up to this version.
+    pub fn know_up_to(&mut self, version: u16) {
+        self.knows = version;
+    }
+
     /// Whether [`Out::Applied`] carries a digest of the state, which takes time.
     pub fn digest(&mut self, wanted: bool) {
         self.digests = wanted;
@@ -262,7 +286,7 @@
     ///
     /// # Errors
     /// Its disk is not the one that was known, or an old copy of it.
-    pub fn greeted(&mut self, by: Identity) -> Result<Result<(), Turned>, Stop> {
+    pub fn greeted(&mut self, by: Identity, schema: u16) -> Result<Result<(), Turned>, Stop> {
         // One that joins knows nobody yet; those that take it in know it as soon as that is agreed on.
         let joins = self.conf == ConfState::default();
         let known = self.raw.raft.prs().iter().any(|(id, _)| *id == by.keeper)
@@ -283,6 +307,7 @@
             self.disk.write(&Batch { peers: &[by], ..Batch::default() })?;
             self.peers.insert(by.keeper, by);
         }
+        self.schemas.insert(by.keeper, schema);
         self.propose_boots();
         Ok(Ok(()))
     }
@@ -563,11 +588,33 @@
                     None => self.propose(conn, id, Command::ReplaceKeeper { old, new, address }, now),
                 }
             }
+            Ask::Change(change) => match self.older_voter() {
+                Some(keeper) => {
+                    let why = format!("keeper {keeper} is of a version that knows no permits yet");
+                    self.say(conn, id, Answer::Refused(Reason::Keepers(why)));
+                }
+                None => self.propose(conn, id, Command::Account(change), now),
+            },
+            Ask::Account { known } => {
+                let revision = self.state.account_revision();
+                let account = (revision > known).then(|| Box::new(self.state.account().clone()));
+                self.say(conn, id, Answer::Account(revision, account));
+            }
             Ask::Status => {}
         }
         self.work(now)
     }
 
+    /// A keeper that votes and spoke an older version of the messages when it greeted this one last: what it does not know
+    /// is not put into the log, which would stop it.
+    fn older_voter(&self) -> Option<u64> {
+        if self.knows < 3 {
+            return Some(self.identity.keeper);
+        }
+        let voters = self.conf.get_voters().iter().chain(self.conf.get_voters_outgoing());
+        voters.copied().find(|voter| self.schemas.get(voter).is_some_and(|schema| *schema < 3))
+    }
+
     fn propose(&mut self, conn: Conn, request: u64, command: Command, now: Micros) {
         self.next += 1;
         let context = postcard::to_stdvec(&(self.nonce, self.next)).unwrap_or_default();
@@ -616,6 +663,13 @@
 
     fn propose_due(&mut self, now: Micros) {
         let Some(warden) = &mut self.warden else { return };
+        // What is due of permits is proposed at most so often: the agreement takes a moment.
+        if now.saturating_sub(self.voided) > self.times.heartbeat {
+            for change in self.desk.due(now) {
+                self.voided = now;
+                let _ = self.raw.propose(Vec::new(), Command::Account(change).encode());
+            }
+        }
         for command in warden.due(now, &self.state) {
             if self.raw.propose(Vec::new(), command.encode()).is_err() {
                 warden.dropped(&command);
@@ -649,7 +703,7 @@
         if foreign {
             let snapshot = ready.snapshot().clone();
             self.raw.mut_store().log.wl().apply_snapshot(snapshot.clone()).map_err(raft_fault)?;
-            self.state = restored(&snapshot)?;
+            self.state = restored(&snapshot)?.with_account_flaw(self.flaw);
             self.conf = snapshot.get_metadata().get_conf_state().clone();
             self.raw.mut_store().snapshot = snapshot;
         }
@@ -683,9 +737,12 @@
                 self.state.skip(entry.index);
                 continue;
             }
-            let command = Command::decode(&entry.data)
+            let command = Command::decode_up_to(self.knows, &entry.data)
                 .map_err(|fault| Stop::Later(format!("at entry {}: {fault}", entry.index)))?;
             let outcome = self.state.apply(entry.index, &command);
+            if let Outcome::Account(_) = outcome {
+                self.desk.applied(now, self.state.account());
+            }
             if let Some(warden) = &mut self.warden {
                 warden.applied(now, &self.state);
                 if matches!(outcome, Outcome::Refused(_)) {
@@ -724,6 +781,12 @@
             }
             (Outcome::Joined(..), None) => self.not_leading(),
             (Outcome::Refused(reason), _) => Answer::Refused(reason.clone()),
+            (Outcome::Account(outcome), _) => {
+                if let cairncrank_release::Outcome::Asked(id, _) = outcome {
+                    self.desk.asked(*id, now);
+                }
+                Answer::Changed(outcome.clone())
+            }
             _ => Answer::Done,
         };
         self.say(waiter.conn, waiter.request, answer);
@@ -744,6 +807,8 @@
         self.leads = leads;
         self.out.push(Out::Leads(leads));
         self.warden = leads.map(|_| Warden::new(self.times, now, &self.state));
+        self.desk = Desk::default();
+        self.desk.applied(now, self.state.account());
         self.propose_boots();
         // Whoever waits asks the next leader; what was proposed may still be agreed on, and asking twice does no harm.
         let answer = self.not_leading();
--- a/crates/cairncrank-keeper/src/serve.rs
+++ b/crates/cairncrank-keeper/src/serve.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cairncrank_duty::{Command, Outcome};
+use cairncrank_duty::{Command, Outcome, COMMAND_VERSION};
 use cairncrank_fleet::clock;
 use cairncrank_fleet::record::Recorder;
 use cairncrank_fleet::wire::{
-    check_hello, pack, turned_away, Disk as Identity, FromKeeper, Hello, Link, Request, Turned, Welcome, Who,
-    PATIENCE, SCHEMA,
+    check_hello_of, pack, turned_away, Disk as Identity, FromKeeper, Hello, Link, Request, Turned, Welcome,
+    Who, PATIENCE,
 };
 use futures_util::SinkExt;
 use raft::eraftpb::{Message, MessageType};
@@ -34,7 +34,7 @@
 const TOLD_FULL: usize = 32;
 
 enum Event {
-    Greeted(Identity, oneshot::Sender<Welcome>),
+    Greeted(Identity, u16, oneshot::Sender<Welcome>),
     Raft(u64, Message),
     Opened(Conn, mpsc::Sender<Bytes>),
     Closed(Conn),
@@ -48,11 +48,15 @@
 /// # Errors
 /// Why it stopped.
 pub async fn serve(config: &Config, serve: &Serve, record: Recorder) -> Result<(), Stop> {
+    let speaks = serve.speaks;
     let (disk, found) = Disk::open(&serve.store, &config.installation, serve.keeper)?;
     let identity = found.identity;
     let tick = (config.times.heartbeat / 2).clamp(5_000, 50_000);
     let mut node = Node::new(disk, found, config.times, tick, clock::unique())?;
     node.digest(record.records());
+    // Each version of the messages came with the entries of that version.
+    node.know_up_to(speaks.min(COMMAND_VERSION));
+    node.account_flaw(serve.flaw);
     let listener = TcpListener::bind(serve.listen).await;
     let listener =
         listener.map_err(|error| Stop::Start(format!("serve.listen: {}: {error}", serve.listen)))?;
@@ -65,16 +69,21 @@
     let name = format!("keeper {}", serve.keeper);
     let (installation, room) =
         (Rc::new(config.installation.clone()), Arc::new(Semaphore::new(serve.connections)));
-    spawn_local(listen(listener, installation.clone(), Rc::new(name), room, events.clone()));
+    spawn_local(listen(listener, (installation.clone(), speaks), Rc::new(name), room, events.clone()));
     let mut keepers = BTreeMap::new();
     for (number, address) in config.keepers.iter().filter(|(number, _)| **number != serve.keeper) {
         let (sender, messages) = mpsc::channel(TO_KEEPER);
         keepers.insert(*number, sender);
-        let link =
-            Outgoing { to: *number, address: *address, bind: serve.bind, installation: installation.clone() };
+        let link = Outgoing {
+            to: *number,
+            address: *address,
+            bind: serve.bind,
+            installation: installation.clone(),
+            speaks,
+        };
         spawn_local(link.run(term.clone(), messages, events.clone()));
     }
-    let outgoing = Outgoing { to: 0, address: serve.listen, bind: serve.bind, installation };
+    let outgoing = Outgoing { to: 0, address: serve.listen, bind: serve.bind, installation, speaks };
     let mut driver = Driver { keepers, conns: BTreeMap::new(), record, events, outgoing, term };
     let mut ticks = interval(Duration::from_micros(tick));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -144,8 +153,8 @@
     fn take(&mut self, node: &mut Node, event: Event) -> Result<(), Stop> {
         let now = clock::now();
         match event {
-            Event::Greeted(by, answer) => {
-                let welcome = match node.greeted(by)? {
+            Event::Greeted(by, schema, answer) => {
+                let welcome = match node.greeted(by, schema)? {
                     Ok(()) => Welcome::Fine { name: format!("keeper {}", node.identity().keeper) },
                     Err(why) => {
                         tracing::warn!(
@@ -217,6 +226,11 @@
                                 what["name"] = name.as_str().into();
                             }
                         }
+                        Outcome::Account(cairncrank_release::Outcome::Observed { granted, .. })
+                            if !granted.is_empty() =>
+                        {
+                            what["permits"] = granted.clone().into();
+                        }
                         _ => {}
                     }
                     self.record.put(now, "applied", what);
@@ -257,15 +271,43 @@
             let cause = if matches!(command, Command::Leave { .. }) { "left" } else { "not renewed in time" };
             tracing::info!(session = session.0, cause, "a session is over; its duties are free");
         }
+        Outcome::Account(outcome) => log_account(command, outcome),
         Outcome::Released(duty, token) => tracing::info!(%duty, token = token.0, "a term was given back"),
         Outcome::Refused(reason) => tracing::debug!(%reason, ?command, "refused"),
         Outcome::Settled(_) | Outcome::Noted => {}
     }
 }
 
+/// Who asked, forced, struck off, and what an observation led to; that nothing changed is said to nobody.
+fn log_account(command: &Command, outcome: &cairncrank_release::Outcome) {
+    use cairncrank_release::{Change, Outcome, State};
+    let Command::Account(change) = command else { return };
+    match (change, outcome) {
+        (Change::Ask { target, reason, asker, force: true }, Outcome::Asked(permit, _)) => {
+            tracing::warn!(%target, reason, asker, permit, "a permit was forced, beyond what budgets allow");
+        }
+        (Change::Ask { target, reason, asker, .. }, Outcome::Asked(permit, State::Waiting)) => {
+            tracing::debug!(%target, reason, asker, permit, "a permit is asked for");
+        }
+        (Change::Begin { .. }, Outcome::Begun(permit)) => tracing::info!(permit, "a permit was begun"),
+        (Change::Void { permit }, Outcome::Done) => tracing::info!(permit, "a permit is void"),
+        (Change::Strike { target, by }, Outcome::Done) => tracing::warn!(%target, by, "struck off"),
+        (Change::Budgets { budgets, .. }, Outcome::Done) => {
+            tracing::info!(budgets = budgets.len(), "other budgets");
+        }
+        (Change::Observe { .. }, Outcome::Observed { granted, called_back, proven })
+            if !(granted.is_empty() && called_back.is_empty() && proven.is_empty()) =>
+        {
+            tracing::info!(?granted, ?called_back, ?proven, "permits");
+        }
+        (_, Outcome::Refused(why)) => tracing::info!(%why, ?change, "the account refuses"),
+        _ => {}
+    }
+}
+
 async fn listen(
     listener: TcpListener,
-    installation: Rc<String>,
+    (installation, speaks): (Rc<String>, u16),
     name: Rc<String>,
     room: Arc<Semaphore>,
     events: mpsc::Sender<Event>,
@@ -285,7 +327,7 @@
         let Ok(taken) = taken.or_else(|_| told.clone().try_acquire_owned()) else { continue };
         spawn_local(async move {
             let _taken = taken;
-            if let Err(error) = incoming(stream, conn, &installation, &name, full, &events).await {
+            if let Err(error) = incoming(stream, conn, (&installation, speaks), &name, full, &events).await {
                 tracing::debug!(%from, %error, "a connection ended");
             }
             let _ = events.send(Event::Closed(conn)).await;
@@ -296,13 +338,13 @@
 async fn incoming(
     stream: TcpStream,
     conn: Conn,
-    installation: &str,
+    (installation, speaks): (&str, u16),
     name: &str,
     full: bool,
     events: &mpsc::Sender<Event>,
 ) -> std::io::Result<()> {
     let (mut link, hello) = Link::accept(stream).await?;
-    let verdict = check_hello(&hello, installation);
+    let verdict = check_hello_of(speaks, &hello, installation);
     let verdict = if full { Err(Turned::Full) } else { verdict };
     if let Err(why) = verdict {
         tracing::warn!(?hello, ?why, "turned away");
@@ -311,7 +353,7 @@
     match hello.who {
         Who::Keeper(identity) => {
             let (answer, welcome) = oneshot::channel();
-            let _ = events.send(Event::Greeted(identity, answer)).await;
+            let _ = events.send(Event::Greeted(identity, hello.schema, answer)).await;
             let Ok(welcome) = welcome.await else { return Ok(()) };
             link.welcome(&welcome).await?;
             if matches!(welcome, Welcome::Turned(_)) {
@@ -362,6 +404,7 @@
     address: SocketAddr,
     bind: Option<IpAddr>,
     installation: Rc<String>,
+    speaks: u16,
 }
 
 impl Outgoing {
@@ -373,7 +416,7 @@
     ) {
         loop {
             let who = Who::Keeper(*identity.borrow());
-            let hello = Hello { schema: SCHEMA, installation: (*self.installation).clone(), who };
+            let hello = Hello { schema: self.speaks, installation: (*self.installation).clone(), who };
             match Link::connect(self.address, self.bind, &hello).await {
                 Ok((link, _)) => {
                     // What waited while there was no connection is of yesterday; Raft sends again what is needed.
--- a/crates/cairncrank-keeper/tests/cluster.rs
+++ b/crates/cairncrank-keeper/tests/cluster.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use cairncrank_duty::{DutyId, Outcome, Reason, SessionId, Times, Token};
-use cairncrank_fleet::wire::{Answer, Ask, Disk as Identity, FromKeeper, Request, Turned};
+use cairncrank_fleet::wire::{Answer, Ask, Disk as Identity, FromKeeper, Request, Turned, SCHEMA};
 use cairncrank_keeper::disk::{self, Disk};
 use cairncrank_keeper::node::{Node, Out};
 use cairncrank_keeper::Stop;
@@ -260,17 +260,20 @@
     let mut cluster = Cluster::new();
     let node = cluster.nodes.get_mut(&1).unwrap();
     let fresh = Identity { keeper: 2, disk: 102, boots: 5, term: 3 };
-    assert_eq!(node.greeted(fresh).unwrap(), Ok(()));
+    assert_eq!(node.greeted(fresh, SCHEMA).unwrap(), Ok(()));
     let old = Identity { boots: 4, ..fresh };
-    assert_eq!(node.greeted(old).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
+    assert_eq!(node.greeted(old, SCHEMA).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
     let older_term = Identity { boots: 6, term: 2, ..fresh };
-    assert_eq!(node.greeted(older_term).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
-    assert_eq!(node.greeted(Identity { disk: 999, boots: 9, ..fresh }).unwrap(), Err(Turned::WrongDisk));
-    assert_eq!(node.greeted(Identity { keeper: 9, ..fresh }).unwrap(), Err(Turned::Stranger));
+    assert_eq!(node.greeted(older_term, SCHEMA).unwrap(), Err(Turned::OldDisk { boots: 5, term: 3 }));
+    assert_eq!(
+        node.greeted(Identity { disk: 999, boots: 9, ..fresh }, SCHEMA).unwrap(),
+        Err(Turned::WrongDisk)
+    );
+    assert_eq!(node.greeted(Identity { keeper: 9, ..fresh }, SCHEMA).unwrap(), Err(Turned::Stranger));
     // It knows so after a start, too.
     cluster.nodes.remove(&1);
     cluster.start(1);
-    let again = cluster.nodes.get_mut(&1).unwrap().greeted(old).unwrap();
+    let again = cluster.nodes.get_mut(&1).unwrap().greeted(old, SCHEMA).unwrap();
     assert_eq!(again, Err(Turned::OldDisk { boots: 5, term: 3 }));
 }
 
@@ -333,12 +336,12 @@
     assert_eq!(cluster.nodes[&4].status().applied, 0, "nobody speaks to it before it is agreed on");
     // Found by processes: one that joins has to let those in that will tell it all.
     let others = cluster.nodes[&leader].identity();
-    assert_eq!(cluster.nodes.get_mut(&4).unwrap().greeted(others).unwrap(), Ok(()));
+    assert_eq!(cluster.nodes.get_mut(&4).unwrap().greeted(others, SCHEMA).unwrap(), Ok(()));
     let new = cluster.nodes[&4].identity();
-    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new).unwrap(), Err(Turned::Stranger));
+    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new, SCHEMA).unwrap(), Err(Turned::Stranger));
     assert_eq!(cluster.replace(lost, 4), Answer::Done);
     let new = cluster.nodes[&4].identity();
-    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new).unwrap(), Ok(()));
+    assert_eq!(cluster.nodes.get_mut(&leader).unwrap().greeted(new, SCHEMA).unwrap(), Ok(()));
     let mut wanted: Vec<u64> = (1..=4).filter(|keeper| *keeper != lost).collect();
     cluster.until_voters(&wanted);
     assert!(matches!(cluster.replace(lost, 5), Answer::Refused(Reason::Keepers(_))), "it is gone already");
--- /dev/null
+++ b/crates/cairncrank-lab/src/fleet/drains.rs
@@ -0,0 +1,537 @@
+//! Planned drains of dispatchers, agreed across the fleet, with faults: real keepers and dispatchers, operators that ask
+//! for standby at the consoles, and a proxy on every link between keepers and members.
+//!
+//! The rules, checked by the records of dispatchers and keepers and by what the rig did:
+//!
+//! 1. never more dispatchers in standby by plan than the budgets allow, by fleet and by zone;
+//! 2. no permit is granted while what is lost, and known to be, has used the budget up;
+//! 3. a call for standby is answered within its time, whatever the keepers do;
+//! 4. when all is healed everybody who asks gets its turn;
+//! 5. the rules of ownership.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cairncrank_fleet::clock;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+use serde::Serialize;
+use serde_json::json;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, sleep_until, Instant};
+
+use super::checker::{self, Line, Records};
+use super::standin_discovery::Discovery;
+use super::together::{call, member, Binaries, Setup, Together};
+
+/// The rules, in the order of the module's text.
+pub const RULES: [&str; 5] = [
+    "never more in standby by plan than the budgets allow",
+    "no permit while losses have used the budget up",
+    "a call for standby is answered in time",
+    "everybody gets its turn when all is healed",
+    "ownership",
+];
+
+const ZONES: [&str; 3] = ["north", "south", "west"];
+/// The most that may be out at once, of all and of each zone.
+const MOST: (usize, usize) = (2, 1);
+/// A call is decided within 0.8 s; the rest is the machine's.
+const DECIDED: u64 = 1_500_000;
+/// A loss that lasts this long is known to the account: what a dispatcher said last holds 1 s, an owner may change.
+const KNOWN: u64 = 6_000_000;
+
+/// What is played.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Keepers, three or five.
+    pub keepers: usize,
+    /// Dispatchers, in three zones in turn.
+    pub dispatchers: usize,
+    /// How long faults go on.
+    pub length: Duration,
+    /// How often a fault begins, on the mean.
+    pub every: Duration,
+    /// A flaw in the keepers' account.
+    pub flaw: Option<String>,
+    /// Draws the faults and the operators' calls.
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            keepers: 3,
+            dispatchers: 6,
+            length: Duration::from_secs(20),
+            every: Duration::from_secs(3),
+            flaw: None,
+            seed: 1,
+        }
+    }
+}
+
+/// What was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// SIGKILL to the observer, started again later.
+    KillObserver,
+    /// SIGSTOP to the observer, SIGCONT later.
+    StopObserver,
+    /// SIGSTOP to a dispatcher right after its operator called, SIGCONT later.
+    StopAsker,
+    /// What keepers say to a dispatcher is late by 0.3 s, and it is called meanwhile.
+    SlowAsker,
+    /// SIGKILL to a dispatcher that stays away for long.
+    Lose,
+    /// A dispatcher reaches no keeper and is not reached.
+    CutKeepers,
+    /// A dispatcher and the others do not reach each other.
+    CutMembers,
+    /// The keepers' leader is killed, and comes back.
+    KillLeader,
+    /// The keepers' leader is stopped, and goes on.
+    StopLeader,
+    /// All keepers are killed at once, and come back.
+    KillAllKeepers,
+    /// Every link is 50 ms slower each way, and one connection in twenty is reset.
+    SlowNet,
+}
+
+const KINDS: [Fault; 11] = [
+    Fault::KillObserver,
+    Fault::StopObserver,
+    Fault::StopAsker,
+    Fault::SlowAsker,
+    Fault::Lose,
+    Fault::CutKeepers,
+    Fault::CutMembers,
+    Fault::KillLeader,
+    Fault::StopLeader,
+    Fault::KillAllKeepers,
+    Fault::SlowNet,
+];
+
+/// What a schedule gave.
+#[derive(Debug, Default, Serialize)]
+pub struct Drained {
+    /// Violations by rule.
+    pub rules: BTreeMap<String, Vec<String>>,
+    /// Faults by kind.
+    pub faults: BTreeMap<String, u64>,
+    /// The budgets, of all and of a zone, and the most that were out by plan at once.
+    pub budget: (usize, usize),
+    /// See [`Drained::budget`].
+    pub out_by_plan_max: (usize, usize),
+    /// Calls for standby by answer: 200, 503, or 0 for none.
+    pub calls: BTreeMap<u16, u64>,
+    /// Drains that were done by permit.
+    pub drains: u64,
+    /// The longest that an answered call took, in ms, of dispatchers that ran.
+    pub longest_call_ms: f64,
+    /// Terms granted.
+    pub terms: u64,
+}
+
+/// What the rig did and saw.
+#[derive(Debug, Default)]
+struct Notes {
+    /// By dispatcher: from when to when it was killed, stopped, or cut off.
+    killed: Vec<(usize, u64, u64)>,
+    stopped: Vec<(usize, u64, u64)>,
+    /// Calls for standby: the dispatcher, from when to when, the status.
+    calls: Vec<(usize, u64, u64, u16)>,
+    /// Dispatchers that had their turn since this was emptied.
+    turns: Vec<bool>,
+    /// Dispatchers whose operators are to call now.
+    hurry: Vec<bool>,
+    /// The end: nobody asks any more.
+    over: bool,
+}
+
+type Shared = Rc<RefCell<Notes>>;
+
+/// Plays one schedule below this folder.
+///
+/// # Errors
+/// Something could not be set up.
+pub fn play(dir: &Path, binaries: &Binaries, plan: &Plan) -> Result<Drained, String> {
+    std::fs::create_dir_all(dir).map_err(|error| format!("{}: {error}", dir.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| error.to_string())?;
+    LocalSet::new().block_on(&runtime, schedule(dir, binaries.clone(), plan))
+}
+
+/// A fleet of dispatchers whose drains are agreed on, with these budgets, HCL.
+///
+/// # Errors
+/// Something cannot be set up.
+pub async fn start(dir: &Path, binaries: Binaries, plan: &Plan, budgets: &str) -> Result<Together, String> {
+    let setup = Setup {
+        keepers: plan.keepers,
+        dispatchers: plan.dispatchers,
+        fleet: Some("account {\n}\n"),
+        discoveries: &[Discovery::new(4)],
+        proxied: Some(plan.seed),
+    };
+    let mut fleet = Together::start(dir, binaries, settings(plan), setup).await?;
+    if let Some(flaw) = &plan.flaw {
+        for keeper in 1..=plan.keepers {
+            fleet.tell_keeper(keeper, "flaw", &format!("\"{flaw}\""))?;
+            fleet.kill_keeper(keeper);
+            fleet.start_keeper(keeper)?;
+        }
+    }
+    fleet.all_know(4).await?;
+    let file = dir.join("budgets.hcl");
+    std::fs::write(&file, budgets).map_err(|error| format!("{}: {error}", file.display()))?;
+    let path = file.display().to_string();
+    let until = Instant::now() + Duration::from_secs(10);
+    while let Err(why) = fleet.keeper_tool(1, &["budgets", "--set", &path]).await {
+        if Instant::now() > until {
+            return Err(why);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    while inside(&fleet).await != plan.dispatchers {
+        if Instant::now() > until {
+            return Err(format!("not all are in\n{}", fleet.logs()));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(fleet)
+}
+
+/// How many dispatchers the account has as in.
+async fn inside(fleet: &Together) -> usize {
+    let said = fleet.keeper_tool(1, &["account", "--json"]).await.unwrap_or_default();
+    let all: serde_json::Value = serde_json::from_str(&said).unwrap_or_default();
+    let targets = all["account"]["targets"].as_array();
+    targets.map_or(0, |targets| targets.iter().filter(|target| target["in"] == 1.0).count())
+}
+
+fn settings(plan: &Plan) -> serde_json::Value {
+    json!({
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": {
+            "azs": ZONES, "flavors": ["small"], "balancers": plan.dispatchers, "slot-no": 0, "zone": 0,
+            "discovery": "push", "resolution-s": 0.001,
+            "profiles": [{"name": "lookup", "idempotency": "free", "promise-s": 0.5, "deadline-s": 3.0, "late-worth": 0.2}],
+            "projects": [{"name": "web", "share": 1.0, "quota-per-s": 100.0}],
+            "caps": {"cancel": true, "dial-timeout-s": 0.25, "keepalive-s": 5.0, "max-retry-after-s": 2.0,
+                     "parallel-tries": true, "probes": false, "retry-after": true, "send-cap": 4},
+            "family-info": {"tells-start": true, "class-stretch": [2.0], "class-kind": [-1]},
+            "obligations": {"cold-share": 0.14, "drain-grace-s": 0.5, "fall-multiple": 3.0, "tip-after-s": 1.5,
+                            "warm-within-s": 24.0},
+            "charges": {"cross-zone": 0.025}
+        }
+    })
+}
+
+async fn schedule(dir: &Path, binaries: Binaries, plan: &Plan) -> Result<Drained, String> {
+    let budgets = format!(
+        "budget \"all\" {{\n  targets = \"dispatchers\"\n  most_out = {}\n}}\n\
+         budget \"zones\" {{\n  targets = \"dispatchers\"\n  of = \"each-zone\"\n  most_out = {}\n}}\n",
+        MOST.0, MOST.1
+    );
+    let mut fleet = start(dir, binaries, plan, &budgets).await?;
+    let notes = Shared::default();
+    {
+        let mut notes = notes.borrow_mut();
+        (notes.turns, notes.hurry) = (vec![false; plan.dispatchers], vec![false; plan.dispatchers]);
+    }
+    for n in 0..plan.dispatchers {
+        spawn_local(operator(notes.clone(), n, fleet.console_at(n), plan.seed));
+    }
+    let mut found: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+    let faults = faults(&mut fleet, &notes, plan).await?;
+    // All is healed: everybody gets its turn.
+    notes.borrow_mut().turns.fill(false);
+    let until = Instant::now() + Duration::from_secs(30);
+    while Instant::now() < until && notes.borrow().turns.contains(&false) {
+        sleep(Duration::from_millis(100)).await;
+    }
+    for (n, _) in notes.borrow().turns.iter().enumerate().filter(|(_, turn)| !**turn) {
+        found.entry(RULES[3]).or_default().push(format!("d{n} did not within 30 s"));
+    }
+    notes.borrow_mut().over = true;
+    drop(fleet);
+    let mut records = Records::default();
+    for keeper in 1..=plan.keepers as u64 {
+        records.keepers.insert(keeper, checker::read(&dir.join(format!("k{keeper}.jsonl")))?);
+    }
+    for n in 0..plan.dispatchers {
+        records.members.insert(format!("d{n}"), checker::read(&dir.join(format!("d{n}.jsonl")))?);
+    }
+    let notes = notes.borrow();
+    let mut drained = check(plan, &records, &notes, found);
+    for fault in faults {
+        let name = serde_json::to_value(fault).ok();
+        let name = name.as_ref().and_then(|name| name.as_str()).unwrap_or_default().to_owned();
+        *drained.faults.entry(name).or_default() += 1;
+    }
+    Ok(drained)
+}
+
+/// Empties a dispatcher now and then: asks for standby until it is granted, waits, and makes it active again.
+async fn operator(notes: Shared, n: usize, console: std::net::SocketAddr, seed: u64) {
+    let mut random = Pcg64::seed_from_u64(seed ^ (n as u64) << 24);
+    while !notes.borrow().over {
+        let pause = Duration::from_millis(random.random_range(200..1_500));
+        let until = Instant::now() + pause;
+        while Instant::now() < until && !notes.borrow().hurry[n] {
+            sleep(Duration::from_millis(20)).await;
+        }
+        loop {
+            let from = clock::now();
+            let answer = call(console, "POST", "/standby").await;
+            let status = answer.as_ref().map_or(0, |(status, ..)| *status);
+            notes.borrow_mut().calls.push((n, from, clock::now(), status));
+            if status == 200 || notes.borrow().over {
+                break;
+            }
+            let after = answer.and_then(|(_, after, _)| after).unwrap_or(1);
+            sleep(Duration::from_secs(after.into()).min(Duration::from_secs(2))).await;
+        }
+        sleep(Duration::from_millis(random.random_range(200..1_500))).await;
+        // Until it is active again, or another process.
+        while !notes.borrow().over && call(console, "POST", "/active").await.is_none_or(|(s, ..)| s != 200) {
+            sleep(Duration::from_millis(100)).await;
+        }
+        notes.borrow_mut().turns[n] = true;
+    }
+}
+
+async fn faults(fleet: &mut Together, notes: &Shared, plan: &Plan) -> Result<Vec<Fault>, String> {
+    let mut random = Pcg64::seed_from_u64(plan.seed);
+    let mut done = Vec::new();
+    let end = Instant::now() + plan.length;
+    while Instant::now() < end {
+        let next = Instant::now() + plan.every.mul_f64(random.random_range(0.5..1.5));
+        let fault = KINDS[random.random_range(0..KINDS.len())];
+        let some = random.random_range(0..plan.dispatchers);
+        let observer = fleet.said("observes the fleet").unwrap_or(0);
+        let lasts = Duration::from_secs_f64(match fault {
+            Fault::StopObserver | Fault::StopAsker | Fault::StopLeader => random.random_range(0.2..6.0),
+            Fault::Lose => random.random_range(7.0..9.0),
+            Fault::KillAllKeepers | Fault::KillLeader => random.random_range(0.1..2.0),
+            _ => random.random_range(1.0..4.0),
+        });
+        let from = clock::now();
+        done.push(fault);
+        match fault {
+            Fault::KillObserver | Fault::Lose => {
+                let whom = if fault == Fault::Lose { some } else { observer };
+                fleet.kill_dispatcher(whom);
+                sleep(lasts).await;
+                fleet.start_dispatcher(whom)?;
+                notes.borrow_mut().killed.push((whom, from, clock::now()));
+            }
+            Fault::StopObserver | Fault::StopAsker => {
+                let whom = if fault == Fault::StopAsker { some } else { observer };
+                if fault == Fault::StopAsker {
+                    notes.borrow_mut().hurry[whom] = true;
+                    sleep(Duration::from_millis(random.random_range(20..60))).await;
+                    notes.borrow_mut().hurry[whom] = false;
+                }
+                fleet.signal(whom, Signal::STOP)?;
+                sleep(lasts).await;
+                fleet.signal(whom, Signal::CONT)?;
+                notes.borrow_mut().stopped.push((whom, from, clock::now()));
+            }
+            Fault::SlowAsker => {
+                delays(fleet, plan, some);
+                notes.borrow_mut().hurry[some] = true;
+                sleep(lasts).await;
+                notes.borrow_mut().hurry[some] = false;
+                heal(fleet);
+            }
+            Fault::CutKeepers | Fault::CutMembers | Fault::SlowNet => {
+                trouble(fleet, plan, fault, some);
+                sleep(lasts).await;
+                heal(fleet);
+            }
+            Fault::KillLeader => {
+                let leader = fleet.leader();
+                fleet.kill_keeper(leader);
+                sleep(lasts).await;
+                fleet.start_keeper(leader)?;
+            }
+            Fault::StopLeader => {
+                let leader = fleet.leader();
+                fleet.signal_keeper(leader, Signal::STOP)?;
+                sleep(lasts).await;
+                fleet.signal_keeper(leader, Signal::CONT)?;
+            }
+            Fault::KillAllKeepers => {
+                (1..=plan.keepers).for_each(|n| fleet.kill_keeper(n));
+                sleep(lasts).await;
+                (1..=plan.keepers).try_for_each(|n| fleet.start_keeper(n))?;
+            }
+        }
+        sleep_until(next).await;
+    }
+    Ok(done)
+}
+
+fn heal(fleet: &Together) {
+    fleet.net.iter().for_each(|net| net.borrow_mut().heal());
+}
+
+fn delays(fleet: &Together, plan: &Plan, of: usize) {
+    let Some(net) = &fleet.net else { return };
+    for keeper in 1..=plan.keepers {
+        net.borrow_mut().set(keeper, member(of), |trouble| trouble.delay = Duration::from_millis(300));
+    }
+}
+
+fn trouble(fleet: &Together, plan: &Plan, fault: Fault, at: usize) {
+    let Some(net) = &fleet.net else { return };
+    let mut net = net.borrow_mut();
+    let all: Vec<usize> = (1..=plan.keepers).chain((0..plan.dispatchers).map(member)).collect();
+    for (from, to) in all.iter().flat_map(|from| all.iter().map(move |to| (*from, *to))) {
+        let of_it = from == member(at) || to == member(at);
+        let with_keeper = from <= plan.keepers || to <= plan.keepers;
+        match fault {
+            Fault::CutKeepers if of_it && with_keeper => net.set(from, to, |trouble| trouble.cut = true),
+            Fault::CutMembers if of_it && !with_keeper => net.set(from, to, |trouble| trouble.cut = true),
+            Fault::SlowNet => net.set(from, to, |trouble| {
+                (trouble.delay, trouble.resets) = (Duration::from_millis(50), 0.05);
+            }),
+            _ => {}
+        }
+    }
+}
+
+/// From when to when dispatchers were in standby by permit, by their records: until they were active, or killed.
+fn standbys(records: &Records, notes: &Notes) -> Vec<(usize, u64, u64)> {
+    let mut standbys = Vec::new();
+    for (name, lines) in &records.members {
+        let Some(n) = name.strip_prefix('d').and_then(|n| n.parse::<usize>().ok()) else { continue };
+        let mut began: Option<u64> = None;
+        let mut end = |began: &mut Option<u64>, at: u64| {
+            if let Some(from) = began.take() {
+                // Killed in the middle: it was out from then on as well, but not by plan.
+                let killed = notes.killed.iter().filter(|(whom, at, _)| *whom == n && *at > from);
+                let until = killed.map(|(_, at, _)| *at).fold(at, u64::min);
+                standbys.push((n, from, until));
+            }
+        };
+        for line in lines {
+            let by_permit = |line: &Line| line.rest.get("permit").is_some_and(|permit| !permit.is_null());
+            match line.kind.as_str() {
+                "standby" if by_permit(line) => began = Some(line.t),
+                "active" | "started" => end(&mut began, line.t),
+                _ => {}
+            }
+        }
+        end(&mut began, u64::MAX);
+    }
+    standbys
+}
+
+fn check(
+    plan: &Plan,
+    records: &Records,
+    notes: &Notes,
+    mut found: BTreeMap<&'static str, Vec<String>>,
+) -> Drained {
+    let mut drained = Drained { budget: MOST, ..Drained::default() };
+    let standbys = standbys(records, notes);
+    drained.drains = standbys.len() as u64;
+    for (n, from, _) in &standbys {
+        let at_once = standbys.iter().filter(|(_, start, end)| (*start..*end).contains(from));
+        let in_zone = at_once.clone().filter(|(m, ..)| m % ZONES.len() == n % ZONES.len());
+        let (all, zone) = (at_once.clone().count(), in_zone.count());
+        drained.out_by_plan_max = (drained.out_by_plan_max.0.max(all), drained.out_by_plan_max.1.max(zone));
+        if all > MOST.0 || zone > MOST.1 {
+            let who: Vec<String> = at_once.map(|(n, ..)| format!("d{n}")).collect();
+            found.entry(RULES[0]).or_default().push(format!("{} at {from}", who.join(", ")));
+        }
+    }
+    // A permit, once, by the first keeper that recorded it.
+    let mut granted: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+    for line in records.keepers.values().flatten().filter(|line| line.kind == "applied") {
+        let Some(index) = line.rest.get("index").and_then(serde_json::Value::as_u64) else { continue };
+        if let Some(permits) = line.rest.get("permits").and_then(|permits| permits.as_array()) {
+            let entry = granted.entry(index).or_insert((line.t, permits.len() as u64));
+            entry.0 = entry.0.min(line.t);
+        }
+    }
+    for (at, count) in granted.values() {
+        // Lost for so long that the account knows, and still.
+        let lost = notes.killed.iter().filter(|(_, from, until)| from + KNOWN < *at && at < until);
+        let lost: Vec<usize> = lost.map(|(n, ..)| *n).collect();
+        let out =
+            standbys.iter().filter(|(n, from, until)| (*from..*until).contains(at) && !lost.contains(n));
+        let all = lost.len() + out.count() + *count as usize;
+        if all > MOST.0 {
+            let text = format!("{count} permits at {at} while d{lost:?} were lost, {all} in all");
+            found.entry(RULES[1]).or_default().push(text);
+        }
+    }
+    for (n, from, at, status) in &notes.calls {
+        *drained.calls.entry(*status).or_default() += 1;
+        let hurt =
+            notes.killed.iter().chain(&notes.stopped).any(|(whom, start, end)| {
+                whom == n && *start <= *at && *from <= end.saturating_add(2_000_000)
+            });
+        if hurt || notes.over && *status == 0 {
+            continue;
+        }
+        drained.longest_call_ms = drained.longest_call_ms.max((at - from) as f64 / 1e3);
+        if *status == 0 || at - from > DECIDED {
+            let text = format!("d{n}: status {status} after {} us at {from}", at - from);
+            found.entry(RULES[2]).or_default().push(text);
+        }
+    }
+    for (rule, texts) in checker::check(records) {
+        found.entry(RULES[4]).or_default().extend(texts.iter().map(|text| format!("{rule}: {text}")));
+    }
+    let _ = plan;
+    drained.terms = checker::terms(records);
+    drained.rules = found.into_iter().map(|(rule, texts)| (rule.to_owned(), texts)).collect();
+    drained
+}
+
+/// The sums over all schedules, as text.
+#[must_use]
+pub fn table(played: &BTreeMap<u64, Drained>) -> String {
+    let mut text = String::new();
+    let mut line = |words: String| text.push_str(&(words + "\n"));
+    let sum = |of: fn(&Drained) -> u64| played.values().map(of).sum::<u64>();
+    line(format!(
+        "{} schedules, {} drains, {} terms",
+        played.len(),
+        sum(|one| one.drains),
+        sum(|one| one.terms)
+    ));
+    let (mut faults, mut calls) = (BTreeMap::<&str, u64>::new(), BTreeMap::<u16, u64>::new());
+    for one in played.values() {
+        one.faults.iter().for_each(|(kind, count)| *faults.entry(kind).or_default() += count);
+        one.calls.iter().for_each(|(status, count)| *calls.entry(*status).or_default() += count);
+    }
+    line(format!("faults: {faults:?}"));
+    line(format!("calls: {calls:?}"));
+    let most = |of: fn(&Drained) -> usize| played.values().map(of).max().unwrap_or(0);
+    line(format!(
+        "out by plan at most: {} of {} in the fleet, {} of {} in a zone",
+        most(|one| one.out_by_plan_max.0),
+        MOST.0,
+        most(|one| one.out_by_plan_max.1),
+        MOST.1
+    ));
+    let longest = played.values().map(|one| one.longest_call_ms).fold(0.0, f64::max);
+    line(format!("the longest call: {longest:.0} ms"));
+    for (seed, one) in played {
+        for (rule, texts) in &one.rules {
+            line(format!("seed {seed}: {rule}: {} times, first: {}", texts.len(), texts[0]));
+        }
+    }
+    text
+}
--- a/crates/cairncrank-lab/src/fleet/mod.rs
+++ b/crates/cairncrank-lab/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod bearing;
 pub mod checker;
+pub mod drains;
 pub mod hours;
 pub mod joining;
 pub mod light;
--- a/crates/cairncrank-lab/src/fleet/together.rs
+++ b/crates/cairncrank-lab/src/fleet/together.rs
@@ -112,6 +112,19 @@
     }
 }
 
+/// A call of a console: the status, when to come again, and the text; none where nobody answers within 2 s.
+pub async fn call(at: SocketAddr, method: &str, path: &str) -> Option<(u16, Option<u32>, String)> {
+    let mut stream = TcpStream::connect(at).await.ok()?;
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut text = String::new();
+    timeout(Duration::from_secs(2), stream.read_to_string(&mut text)).await.ok()?.ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    let after = head.lines().find_map(|line| line.strip_prefix("Retry-After: ")?.trim().parse().ok());
+    Some((status, after, body.to_owned()))
+}
+
 /// The name of a dispatcher to the proxies, after those of the keepers.
 #[must_use]
 pub fn member(dispatcher: usize) -> Name {
@@ -262,17 +275,51 @@
         Ok(())
     }
 
+    /// Sets a key in the block `serve` of keeper `n`, from one; it counts from its next start.
+    ///
+    /// # Errors
+    /// The file cannot be changed.
+    pub fn tell_keeper(&self, n: usize, key: &str, value: &str) -> Result<(), String> {
+        let file = self.dir.join(format!("k{n}.hcl"));
+        let text = std::fs::read_to_string(&file).map_err(fault(file.display()))?;
+        let others = text.lines().filter(|line| !line.trim_start().starts_with(&format!("{key} =")));
+        let text: String = others.map(|line| format!("{line}\n")).collect();
+        write(&file, text.replacen("serve {\n", &format!("serve {{\n  {key} = {value}\n"), 1))
+    }
+
+    /// The exit code of keeper `n`, from one, where it ended by itself.
+    pub fn keeper_ended(&mut self, n: usize) -> Option<i32> {
+        self.keepers[n - 1].as_mut()?.0.try_wait().ok()?.and_then(|status| status.code())
+    }
+
+    /// The log of keeper `n`, from one.
+    pub fn keeper_log(&self, n: usize) -> String {
+        std::fs::read_to_string(self.dir.join(format!("k{n}.log"))).unwrap_or_default()
+    }
+
+    /// A call of a dispatcher's console, from nought: the status, when to come again, and the text.
+    pub async fn console(&self, n: usize, method: &str, path: &str) -> Option<(u16, Option<u32>, String)> {
+        call(self.consoles[n], method, path).await
+    }
+
+    /// Where a dispatcher's console is, from nought.
+    pub fn console_at(&self, n: usize) -> SocketAddr {
+        self.consoles[n]
+    }
+
     /// Runs `cairncrank-keeper` with the configuration of keeper `n`, from one, and returns what it says, or why it
     /// failed.
     ///
     /// # Errors
     /// It failed.
-    pub fn keeper_tool(&self, n: usize, arguments: &[&str]) -> Result<String, String> {
-        let made = Command::new(&self.binaries.keeper)
+    pub async fn keeper_tool(&self, n: usize, arguments: &[&str]) -> Result<String, String> {
+        // Without blocking: the proxies that it passes run here.
+        let made = tokio::process::Command::new(&self.binaries.keeper)
             .args(arguments)
             .arg("--config")
             .arg(self.dir.join(format!("k{n}.hcl")))
             .output()
+            .await
             .map_err(fault(self.binaries.keeper.display()))?;
         match made.status.success() {
             true => Ok(String::from_utf8_lossy(&made.stdout).into_owned()),
@@ -285,7 +332,7 @@
     ///
     /// # Errors
     /// Something cannot be set up.
-    pub fn lose_keeper(&mut self, lost: usize, new: usize) -> Result<SocketAddr, String> {
+    pub async fn lose_keeper(&mut self, lost: usize, new: usize) -> Result<SocketAddr, String> {
         self.kill_keeper(lost);
         let store = self.dir.join(format!("k{lost}"));
         std::fs::remove_dir_all(&store).map_err(fault(store.display()))?;
@@ -301,7 +348,7 @@
             .replace(&format!("keeper = {lost}\n"), &format!("keeper = {new}\n"))
             .replace(&store.display().to_string(), &self.dir.join(format!("k{new}")).display().to_string());
         write(&self.dir.join(format!("k{new}.hcl")), text)?;
-        self.keeper_tool(new, &["bootstrap", "--joining"])?;
+        self.keeper_tool(new, &["bootstrap", "--joining"]).await?;
         self.keepers.resize_with(new.max(self.keepers.len()), || None);
         self.start_keeper(new)?;
         Ok(at)
@@ -391,13 +438,7 @@
 
     /// How many workers a dispatcher knows, by its console.
     pub async fn known(&self, n: usize) -> Option<usize> {
-        let mut stream = TcpStream::connect(self.consoles[n]).await.ok()?;
-        stream
-            .write_all(b"GET /status/metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-            .await
-            .ok()?;
-        let mut text = String::new();
-        timeout(Duration::from_secs(1), stream.read_to_string(&mut text)).await.ok()?.ok()?;
+        let (_, _, text) = self.console(n, "GET", "/status/metrics").await?;
         let line = text.lines().find(|line| line.starts_with("balancer_shop_workers_known "))?;
         line.rsplit_once(' ')?.1.parse().ok()
     }
--- a/crates/cairncrank-lab/src/fleet/watching.rs
+++ b/crates/cairncrank-lab/src/fleet/watching.rs
@@ -881,7 +881,7 @@
         assert!(!found(&[(1_590_000, 1, 1), (4_100_000, 1, 2)], &[]));
         assert!(found(&[(1_610_000, 1, 1)], &[]));
         let stop = Done { fault: Fault::Stop, at: 1, zone: 0, from: 900_000, until: 1_500_000 };
-        assert!(!found(&[(1_610_000, 1, 1)], &[stop.clone()]));
+        assert!(!found(&[(1_610_000, 1, 1)], std::slice::from_ref(&stop)));
         assert!(found(&[(1_610_000, 2, 1)], &[stop]), "another one was stopped");
     }
 
--- a/crates/cairncrank-lab/src/main.rs
+++ b/crates/cairncrank-lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cairncrank_duty::Flaw;
+use cairncrank_lab::fleet::drains;
 use cairncrank_lab::fleet::hours::live;
 use cairncrank_lab::fleet::joining;
 use cairncrank_lab::fleet::light;
@@ -98,6 +99,8 @@
     },
     /// Lets dispatchers watch workers for each other while faults happen, with clients whose jobs are accounted for.
     Watching(WatchingArgs),
+    /// Lets operators empty dispatchers by permits that the fleet agrees on, while faults happen.
+    Drains(DrainsArgs),
     /// Replaces most workers by cold ones, with and without one owner who hands out what these bear, side by side.
     Joining {
         /// The first seed.
@@ -209,6 +212,34 @@
     out: PathBuf,
 }
 
+#[derive(clap::Args)]
+struct DrainsArgs {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many schedules, by seeds counted up from the first.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    seeds: u64,
+    /// Schedules side by side.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
+    at_once: u16,
+    /// How long faults go on, in seconds.
+    #[arg(long, default_value_t = 20)]
+    length_s: u64,
+    /// Keepers, 3 or 5; 0 for 3 and 5 in turn.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(0..=5))]
+    keepers: u16,
+    /// Dispatchers.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(3..=48))]
+    dispatchers: u16,
+    /// A flaw in the keepers' account, or `list`.
+    #[arg(long)]
+    seeded_bug: Option<String>,
+    /// The folder for what the processes leave, and drains.json.
+    #[arg(long)]
+    out: PathBuf,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Drive {
     /// Discrete events, no clock.
@@ -297,6 +328,73 @@
     std::fs::write(&file, text).map_err(|error| format!("{}: {error}", file.display()))
 }
 
+fn drains(args: &DrainsArgs) -> Result<(), String> {
+    let known: Vec<&str> = cairncrank_release::Flaw::names().iter().map(|(name, _)| *name).collect();
+    match args.seeded_bug.as_deref() {
+        Some("list") => {
+            known.iter().for_each(|name| println!("{name}"));
+            return Ok(());
+        }
+        Some(other) if !known.contains(&other) => {
+            return Err(format!("--seeded-bug: wanted one of {}", known.join(", ")));
+        }
+        _ => {}
+    }
+    let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
+    let base = drains::Plan {
+        dispatchers: args.dispatchers.into(),
+        length: Duration::from_secs(args.length_s),
+        flaw: args.seeded_bug.clone(),
+        ..drains::Plan::default()
+    };
+    let played = lanes(args.at_once, args.seed, args.seeds, |seed| {
+        let dir = args.out.join(format!("seed-{seed}"));
+        let keepers = keepers_of(args.keepers, seed);
+        drains::play(&dir, &binaries, &drains::Plan { seed, keepers, ..base.clone() })
+    })?;
+    print!("{}", drains::table(&played));
+    left(&args.out.join("drains.json"), &played, |one| one.rules.is_empty())
+}
+
+/// So many keepers, or 3 and 5 in turn.
+fn keepers_of(asked: u16, seed: u64) -> usize {
+    match asked {
+        0 if seed % 2 == 0 => 3,
+        0 => 5,
+        keepers => keepers.into(),
+    }
+}
+
+/// Plays schedules by seed, so many side by side.
+fn lanes<T: Send>(
+    at_once: u16,
+    first: u64,
+    seeds: u64,
+    one: impl Fn(u64) -> Result<T, String> + Sync,
+) -> Result<BTreeMap<u64, T>, String> {
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(at_once.into()).build();
+    let pool = pool.map_err(|error| error.to_string())?;
+    let seeds: Vec<u64> = (first..first.saturating_add(seeds)).collect();
+    let one = |seed: u64| one(seed).map(|played| (seed, played));
+    pool.install(|| seeds.into_par_iter().with_max_len(1).map(one).collect())
+}
+
+/// Writes what schedules gave, and complains of the first that broke a rule.
+fn left<T: serde::Serialize>(
+    file: &Path,
+    played: &BTreeMap<u64, T>,
+    sound: impl Fn(&T) -> bool,
+) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(played).map_err(|error| error.to_string())?;
+    std::fs::write(file, &text).map_err(|error| format!("{}: {error}", file.display()))?;
+    match played.iter().find(|(_, played)| !sound(played)) {
+        Some((seed, _)) => {
+            Err(format!("rules were broken, see {}; seed {seed} plays one again", file.display()))
+        }
+        None => Ok(()),
+    }
+}
+
 fn watching(args: &WatchingArgs) -> Result<(), String> {
     let binaries = Binaries { dispatcher: beside("cairncrank")?, keeper: beside("cairncrank-keeper")? };
     let base = watching::Plan {
@@ -310,32 +408,13 @@
         flaw: args.seeded_bug.clone(),
         ..watching::Plan::default()
     };
-    let pool = rayon::ThreadPoolBuilder::new().num_threads(args.at_once.into()).build();
-    let pool = pool.map_err(|error| error.to_string())?;
-    let one = |seed: u64| {
+    let played = lanes(args.at_once, args.seed, args.seeds, |seed| {
         let dir = args.out.join(format!("seed-{seed}"));
-        let keepers = match args.keepers {
-            0 if seed % 2 == 0 => 3,
-            0 => 5,
-            keepers => keepers.into(),
-        };
+        let keepers = keepers_of(args.keepers, seed);
         watching::play(&dir, &binaries, &watching::Plan { seed, keepers, ..base.clone() })
-            .map(|played| (seed, played))
-    };
-    let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
-    let played: Result<BTreeMap<u64, watching::Watched>, String> =
-        pool.install(|| seeds.into_par_iter().with_max_len(1).map(one).collect());
-    let played = played?;
-    let text = serde_json::to_string_pretty(&played).map_err(|error| error.to_string())?;
-    let file = args.out.join("watching.json");
-    std::fs::write(&file, &text).map_err(|error| format!("{}: {error}", file.display()))?;
+    })?;
     print!("{}", watching::table(&played));
-    match played.iter().find(|(_, played)| !played.rules.is_empty()) {
-        Some((seed, _)) => {
-            Err(format!("rules were broken, see {}; seed {seed} plays one again", file.display()))
-        }
-        None => Ok(()),
-    }
+    left(&args.out.join("watching.json"), &played, |one| one.rules.is_empty())
 }
 
 fn joining((first, seeds): (u64, u64), plan: &joining::Plan, out: &Path) -> Result<(), String> {
@@ -482,6 +561,7 @@
         Command::Worth { members, length_s, list_only, out } => {
             worth(&members, Duration::from_secs(length_s), list_only, &out)
         }
+        Command::Drains(args) => drains(&args),
         Command::Watching(args) => watching(&args),
         Command::LightMember { file } => light::run(&file),
         Command::Hours { hours, seed, skew_ppm, seeded_bug } => {
--- /dev/null
+++ b/crates/cairncrank-lab/tests/drains.rs
@@ -0,0 +1,177 @@
+//! Drains agreed across the fleet, with processes: what operators see at a console, and schedules of faults.
+
+use std::time::Duration;
+
+use cairncrank_lab::fleet::drains::{play, start, Drained, Plan, RULES};
+use cairncrank_lab::fleet::together::{Binaries, Together};
+use rustix::process::Signal;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
+
+const BUDGETS: &str = r#"
+budget "all" {
+  targets  = "dispatchers"
+  most_out = "40%"
+}
+budget "zones" {
+  targets  = "dispatchers"
+  of       = "each-zone"
+  most_out = 1
+}
+"#;
+
+fn fleet<F: std::future::Future<Output = ()>>(test: impl FnOnce(Together) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let binaries = Binaries::beside_tests().unwrap();
+        test(start(dir.path(), binaries, &Plan::default(), BUDGETS).await.unwrap()).await;
+    });
+}
+
+/// Asks until it is granted; the text of the last refusal.
+async fn granted(fleet: &Together, n: usize) -> String {
+    let (start, mut last) = (Instant::now(), String::new());
+    loop {
+        let (status, _, text) = fleet.console(n, "POST", "/standby").await.unwrap();
+        if status == 200 {
+            return last;
+        }
+        last = text;
+        assert!(start.elapsed() < Duration::from_secs(15), "d{n}: {last}\n{}", fleet.logs());
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn refused(fleet: &Together, n: usize) -> String {
+    let (status, after, text) = fleet.console(n, "POST", "/standby").await.unwrap();
+    assert_eq!(status, 503, "{text}");
+    assert!(after.is_some_and(|after| after > 0), "no word of when to come again: {text}");
+    text
+}
+
+async fn is(fleet: &Together, n: usize, mode: &str) -> bool {
+    let (_, _, text) = fleet.console(n, "GET", "/status").await.unwrap();
+    text.contains(&format!("\"mode\":\"{mode}\""))
+}
+
+/// Zones in turn: d0 and d3 are in one. Of six, 40 % are two, rounded down.
+#[test]
+fn a_standby_waits_for_its_turn_by_zone_and_fleet_and_the_next_has_it_when_one_is_back() {
+    fleet(|fleet| async move {
+        granted(&fleet, 0).await;
+        // The permit of the zone's other one waits, and says for what.
+        sleep(Duration::from_millis(600)).await;
+        let why = refused(&fleet, 3).await;
+        assert!(why.contains("waits for its turn") && why.contains("zones"), "{why}");
+        assert!(is(&fleet, 3, "active").await && is(&fleet, 0, "standby").await);
+        granted(&fleet, 1).await;
+        sleep(Duration::from_millis(600)).await;
+        let why = refused(&fleet, 2).await;
+        assert!(why.contains("all"), "{why}");
+        let account = fleet.keeper_tool(1, &["account"]).await.unwrap();
+        assert!(account.contains("all: 2 out by plan, 0 otherwise, of 6"), "{account}");
+        assert_eq!(fleet.console(0, "POST", "/active").await.unwrap().0, 200);
+        // First asked, first served: d3 of the zone that is free again.
+        granted(&fleet, 3).await;
+        assert!(is(&fleet, 2, "active").await);
+    });
+}
+
+#[test]
+fn a_loss_uses_the_budget_up_until_it_is_back_or_struck_off() {
+    fleet(|mut fleet| async move {
+        fleet.kill_dispatcher(4);
+        granted(&fleet, 0).await;
+        let start = Instant::now();
+        while !fleet.keeper_tool(1, &["account"]).await.unwrap().contains("1 otherwise") {
+            assert!(start.elapsed() < Duration::from_secs(10), "the loss is not counted");
+            sleep(Duration::from_millis(100)).await;
+        }
+        refused(&fleet, 2).await;
+        sleep(Duration::from_millis(600)).await;
+        let why = refused(&fleet, 2).await;
+        assert!(why.contains("all"), "one by plan and one lost are two: {why}");
+        // Of five, 40 % are two still.
+        fleet.keeper_tool(1, &["strike-off", "--target", "dispatcher/d4", "--by", "test"]).await.unwrap();
+        granted(&fleet, 2).await;
+        let unknown = fleet.keeper_tool(1, &["strike-off", "--target", "dispatcher/d9"]).await;
+        assert!(unknown.unwrap_err().contains("no such target"));
+    });
+}
+
+#[test]
+fn without_a_majority_a_planned_drain_is_refused_unless_it_is_forced_and_a_term_signal_is_obeyed() {
+    fleet(|mut fleet| async move {
+        granted(&fleet, 0).await;
+        fleet.kill_keeper(1);
+        fleet.kill_keeper(2);
+        let began = Instant::now();
+        let why = refused(&fleet, 1).await;
+        assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
+        assert!(why.contains("no majority") && why.contains("serving goes on"), "{why}");
+        assert!(is(&fleet, 1, "active").await);
+        let (status, _, text) = fleet.console(1, "POST", "/standby?force=1").await.unwrap();
+        assert_eq!(status, 200, "{text}");
+        assert!(is(&fleet, 1, "standby").await);
+        let (_, _, figures) = fleet.console(1, "GET", "/status/metrics").await.unwrap();
+        for figure in ["cairncrank_fleet_standby_forced_total 1", "cairncrank_fleet_standby_denied_total 1"] {
+            assert!(figures.contains(figure), "{figures}");
+        }
+        // It was out, and is; what it did alone is counted as a loss when the keepers are back.
+        (1..=2).try_for_each(|n| fleet.start_keeper(n)).unwrap();
+        let start = Instant::now();
+        let counted = "all: 1 out by plan, 1 otherwise";
+        while !fleet.keeper_tool(1, &["account"]).await.is_ok_and(|text| text.contains(counted)) {
+            assert!(start.elapsed() < Duration::from_secs(15), "not counted");
+            sleep(Duration::from_millis(100)).await;
+        }
+        fleet.signal(2, Signal::TERM).unwrap();
+        let start = Instant::now();
+        while fleet.console(2, "GET", "/status").await.is_some() {
+            assert!(start.elapsed() < Duration::from_secs(10), "it does not end");
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
+
+#[test]
+fn budgets_are_changed_by_whoever_saw_the_last_version() {
+    fleet(|fleet| async move {
+        let wrong = std::env::temp_dir().join(format!("cairncrank-budgets-{}.hcl", std::process::id()));
+        let path = wrong.display().to_string();
+        std::fs::write(&wrong, "budget \"b\" {\n  targets = \"workers\"\n  most_out = \"100%\"\n}\n")
+            .unwrap();
+        let fault = fleet.keeper_tool(1, &["budgets", "--set", &path]).await.unwrap_err();
+        assert!(fault.contains(&path) && fault.contains("most_out") && fault.contains("last one"), "{fault}");
+        std::fs::write(&wrong, BUDGETS).unwrap();
+        let stale = fleet.keeper_tool(1, &["budgets", "--set", &path, "--seen", "0"]).await.unwrap_err();
+        assert!(stale.contains("changed meanwhile"), "{stale}");
+        fleet.keeper_tool(1, &["budgets", "--set", &path]).await.unwrap();
+        std::fs::remove_file(&wrong).unwrap();
+    });
+}
+
+fn played(plan: &Plan) -> Drained {
+    let dir = tempfile::tempdir().unwrap();
+    play(dir.path(), &Binaries::beside_tests().unwrap(), plan).unwrap()
+}
+
+#[test]
+fn drains_stay_within_their_budgets_while_processes_and_links_fail() {
+    let played: Vec<Drained> = std::thread::scope(|scope| {
+        let lanes: Vec<_> =
+            (1..=3).map(|seed| scope.spawn(move || played(&Plan { seed, ..Plan::default() }))).collect();
+        lanes.into_iter().map(|lane| lane.join().unwrap()).collect()
+    });
+    for one in &played {
+        assert!(one.rules.is_empty() && one.drains > 3, "{one:#?}");
+    }
+}
+
+#[test]
+fn a_permit_that_any_sight_of_its_target_ends_is_found_by_the_checker() {
+    let flaw = Some("any-process".to_owned());
+    let played = played(&Plan { flaw, ..Plan::default() });
+    assert!(played.rules.contains_key(RULES[0]), "{played:#?}");
+}
--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -129,14 +129,15 @@
         let (_dir, mut fleet) = start(true).await;
         let leader = fleet.leader();
         let lost = (1..=3).find(|keeper| *keeper != leader).unwrap();
-        let at = fleet.lose_keeper(lost, 4).unwrap().to_string();
-        let refused = fleet.keeper_tool(4, &["replace", "--keeper", "9", "--with", "4", "--address", &at]);
+        let at = fleet.lose_keeper(lost, 4).await.unwrap().to_string();
+        let refused =
+            fleet.keeper_tool(4, &["replace", "--keeper", "9", "--with", "4", "--address", &at]).await;
         assert!(refused.unwrap_err().contains("there is no keeper 9"));
         let lost = lost.to_string();
         let replace = ["replace", "--keeper", &lost, "--with", "4", "--address", &at];
-        let said = fleet.keeper_tool(4, &replace).unwrap();
+        let said = fleet.keeper_tool(4, &replace).await.unwrap();
         assert!(said.contains("has taken the place"), "{said}");
-        fleet.keeper_tool(4, &replace).expect("asked again it says that it is done");
+        fleet.keeper_tool(4, &replace).await.expect("asked again it says that it is done");
         fleet.watches(1).await.unwrap();
         // Now the new one and one other are the majority, and one of them leads.
         fleet.kill_keeper(leader);
--- a/crates/cairncrank/src/net/console.rs
+++ b/crates/cairncrank/src/net/console.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::http::{Head, Start};
+use super::leave::{Denied, Leave};
 use super::read_more;
 
 /// A call must have come whole within this from connecting on; a caller waits 1 s for its answer.
@@ -67,6 +68,10 @@
     pub granted: Counter,
     /// Work at cold workers that this member granted to all in its last term, in slots by seconds.
     pub dealt: Gauge,
+    /// Calls for standby that the fleet did not allow, and those that somebody forced.
+    pub denied: IntCounter,
+    /// See [`FleetMetrics::denied`].
+    pub forced: IntCounter,
 }
 
 /// How a job ended for its client, or that an attempt was written whole.
@@ -146,9 +151,13 @@
             self.registry.register(Box::new(gauge.clone())).expect("registered once");
             gauge
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("a valid name");
+            self.registry.register(Box::new(counter.clone())).expect("registered once");
+            counter
+        };
         let probes = "Probes written on behalf of the fleet";
-        let probes = IntCounter::new("cairncrank_fleet_probes_total", probes).expect("a valid name");
-        self.registry.register(Box::new(probes.clone())).expect("registered once");
+        let probes = counter("cairncrank_fleet_probes_total", probes);
         let granted = "Work at cold workers granted to this member, slots by seconds";
         let granted = Counter::new("cairncrank_fleet_cold_granted_total", granted).expect("a valid name");
         self.registry.register(Box::new(granted.clone())).expect("registered once");
@@ -156,6 +165,11 @@
         let dealt = Gauge::new("cairncrank_fleet_cold_dealt", dealt).expect("a valid name");
         self.registry.register(Box::new(dealt.clone())).expect("registered once");
         FleetMetrics {
+            denied: counter(
+                "cairncrank_fleet_standby_denied_total",
+                "Calls for standby that the fleet did not allow",
+            ),
+            forced: counter("cairncrank_fleet_standby_forced_total", "Calls for standby that were forced"),
             granted,
             dealt,
             session: gauge(
@@ -230,6 +244,8 @@
     pub mode: watch::Sender<Mode>,
     /// Whether the process is ready: it says yes to the health check.
     pub ready: Box<dyn Fn() -> bool>,
+    /// Who decides on a standby, where that is agreed across the fleet.
+    pub leave: Option<Rc<Leave>>,
 }
 
 /// Answers the operators' calls for as long as the program runs.
@@ -273,7 +289,10 @@
     });
     let answer = match head.await {
         Ok(Some(head)) => match &head.start {
-            Start::Request(method, target) => answer(&console, method, target),
+            Start::Request(method, target) => match &console.leave {
+                Some(leave) if is_standby(method, target) => standby(leave, target).await,
+                _ => answer(&console, method, target),
+            },
             Start::Response(_) => response(400, "text/plain", b"a call is a request\n"),
         },
         Ok(None) => response(400, "text/plain", b"this is no HTTP/1.1 request\n"),
@@ -283,6 +302,22 @@
     let _ = stream.shutdown().await;
 }
 
+fn is_standby(method: &[u8], target: &[u8]) -> bool {
+    method == b"POST" && target.split(|b| *b == b'?').next() == Some(b"/standby")
+}
+
+/// The answer to a call for standby where the fleet has a say: granted and done, or why not and when to ask again.
+async fn standby(leave: &Leave, target: &[u8]) -> Vec<u8> {
+    let force = target.split(|b| matches!(b, b'?' | b'&')).skip(1).any(|pair| pair == b"force=1");
+    match leave.standby("an operator's standby", force).await {
+        Ok(()) => response(200, "text/plain", b"standby\n"),
+        Err(Denied { why, after_s }) => {
+            let text = format!("not now: {why}\n");
+            with_headers(503, "text/plain", &format!("Retry-After: {after_s}\r\n"), text.as_bytes())
+        }
+    }
+}
+
 /// The answer to a call.
 #[must_use]
 pub fn answer(console: &Console, method: &[u8], target: &[u8]) -> Vec<u8> {
@@ -308,6 +343,7 @@
         (b"POST", b"/active") => {
             if console.mode.send_replace(Mode::Active) == Mode::Standby {
                 tracing::info!("active: work is invited again");
+                console.leave.iter().for_each(|leave| leave.returned());
             }
             response(200, "text/plain", b"active\n")
         }
@@ -318,9 +354,13 @@
 }
 
 fn response(status: u16, kind: &str, body: &[u8]) -> Vec<u8> {
+    with_headers(status, kind, "", body)
+}
+
+fn with_headers(status: u16, kind: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let reason = super::http::reason(status);
     let mut message =
-        format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len())
+        format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n{headers}Connection: close\r\n\r\n", body.len())
             .into_bytes();
     message.extend_from_slice(body);
     message
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -17,6 +17,7 @@
 use cairncrank_fleet::member::{Ended, Member, Settings};
 use cairncrank_fleet::record::Recorder;
 use cairncrank_fleet::watch::Watching;
+use cairncrank_release::census::ACCOUNT;
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -25,6 +26,7 @@
 
 use super::cold::Colds;
 use super::console::FleetMetrics;
+use super::leave::{Leave, Own};
 use super::signal::Phase;
 use super::watchers::Watchers;
 use super::worker::Pool;
@@ -58,20 +60,30 @@
     heard: Cell<Micros>,
 }
 
+/// What being a member gives to the rest of the program.
+pub(super) struct Joined {
+    pub(super) lists: Rc<Lists>,
+    /// What an owner of the list says.
+    pub(super) news: mpsc::Receiver<News>,
+    /// Who decides on a planned standby, where that is agreed on.
+    pub(super) leave: Option<Rc<Leave>>,
+}
+
 /// Becomes a member. What an owner says goes to the receiver that is returned.
 pub(super) async fn start(
     settings: &Fleet,
     config: &Config,
     phase: watch::Receiver<Phase>,
     (pool, usual): (&Rc<Pool>, Rc<Cell<f64>>),
-    metrics: FleetMetrics,
-) -> std::io::Result<(Rc<Lists>, mpsc::Receiver<News>)> {
+    (metrics, own): (FleetMetrics, Own),
+) -> std::io::Result<Joined> {
     let listener = TcpListener::bind(settings.listen).await?;
     let address = settings.address.map_or_else(|| listener.local_addr(), Ok)?;
     let zones = config.names.zones.len().clamp(1, usize::from(u16::MAX)) as u16;
     let watch = settings.watch.map(|how| Watching { zones, ..how });
     let mut offers: Vec<DutyId> = settings.list.then(|| DutyId::fleet(LIST)).into_iter().collect();
     offers.extend(settings.cold.map(|_| DutyId::fleet(COLD)));
+    offers.extend(settings.account.map(|_| DutyId::fleet(ACCOUNT)));
     offers.extend(watch.iter().flat_map(|how| how.duties()));
     let zone = config.names.zones.get(config.settings.zone as usize).cloned().unwrap_or_default();
     let member = Settings {
@@ -98,6 +110,10 @@
         Rc::new(Colds::new(both, member.clone(), pool.clone(), metrics.clone(), usual, config.seed ^ 0xc01d))
     });
     colds.iter().for_each(|colds| drop(spawn_local(colds.clone().rounds())));
+    let leave =
+        settings.account.map(|holds| Rc::new(Leave::new(holds, member.clone(), own, metrics.clone())));
+    leave.iter().for_each(|leave| drop(spawn_local(leave.clone().rounds())));
+    let leaver = leave.clone();
     spawn_local(receive(member.clone(), listener, move |effect| match effect.duty.name.as_str() {
         LIST => {
             if let Ok(news) = serde_json::from_slice::<News>(&effect.body) {
@@ -106,6 +122,7 @@
             }
             Vec::new()
         }
+        ACCOUNT => leaver.as_ref().map_or_else(Vec::new, |leave| leave.heard()),
         COLD => colds.as_ref().map_or_else(Vec::new, |colds| colds.heard(&effect)),
         _ => {
             watchers.iter().for_each(|watchers| watchers.heard(&effect));
@@ -129,8 +146,8 @@
     });
     spawn_local(lists.clone().rounds());
     spawn_local(stay(member.clone()));
-    spawn_local(leave(member, phase));
-    Ok((lists, news))
+    spawn_local(give_back(member, phase));
+    Ok(Joined { lists, news, leave })
 }
 
 /// What the platform says of cold workers.
@@ -168,7 +185,7 @@
 }
 
 /// Gives the duties back as soon as the program is told to end: somebody else follows discovery meanwhile.
-async fn leave(member: Member, mut phase: watch::Receiver<Phase>) {
+async fn give_back(member: Member, mut phase: watch::Receiver<Phase>) {
     let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
     member.leave();
 }
--- /dev/null
+++ b/crates/cairncrank/src/net/leave.rs
@@ -0,0 +1,278 @@
+//! Drains that are agreed across the fleet, where our own settings ask for it: a planned standby takes a permit of the
+//! keepers' account first, and one member tells the account how all are.
+//!
+//! A job never waits on any of it, and an end by SIGTERM asks nobody.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cairncrank_duty::{DutyId, Micros, Token};
+use cairncrank_fleet::clock;
+use cairncrank_fleet::effects::Publisher;
+use cairncrank_fleet::keepers::Keepers;
+use cairncrank_fleet::member::Member;
+use cairncrank_fleet::wire::{Answer, Ask, Who};
+use cairncrank_release::census::{Census, Standing, ACCOUNT};
+use cairncrank_release::{Account, Change, Kind, Outcome, Refusal, State, Target};
+use tokio::sync::watch;
+use tokio::time::{interval, Instant, MissedTickBehavior};
+
+use super::console::{FleetMetrics, Mode};
+use super::signal::Phase;
+
+/// How often all are asked how they are.
+const ROUND: Duration = Duration::from_millis(200);
+/// How often the account is looked at while nothing waits, in rounds.
+const SELDOM: u32 = 5;
+/// The most time that a standby takes to be granted or refused.
+const DECIDED: Duration = Duration::from_millis(800);
+/// When to ask again for what has to wait, and for what needs a majority first, in seconds.
+const AGAIN: (u32, u32) = (1, 5);
+
+/// Why a standby is not granted, and when to ask again, in seconds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Denied {
+    /// Why.
+    pub why: String,
+    /// When.
+    pub after_s: u32,
+}
+
+/// What the rest of the program tells of this dispatcher.
+pub(super) struct Own {
+    pub(super) mode: watch::Sender<Mode>,
+    pub(super) ready: watch::Receiver<bool>,
+    pub(super) phase: watch::Receiver<Phase>,
+}
+
+struct Term {
+    token: Token,
+    census: Rc<RefCell<Census>>,
+    publisher: Publisher,
+}
+
+/// This dispatcher's part in the account of who may be out.
+pub struct Leave {
+    holds: Micros,
+    member: Member,
+    own: Own,
+    metrics: FleetMetrics,
+    /// How often it returned from standby in this process.
+    returns: Cell<u64>,
+    term: RefCell<Option<Term>>,
+    /// One standby is decided on at a time.
+    deciding: Cell<bool>,
+}
+
+impl std::fmt::Debug for Leave {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Leave").field("number", &self.number()).finish_non_exhaustive()
+    }
+}
+
+fn denied(why: impl Into<String>, after_s: u32) -> Result<(), Denied> {
+    Err(Denied { why: why.into(), after_s })
+}
+
+impl Leave {
+    pub(super) fn new(holds: Micros, member: Member, own: Own, metrics: FleetMetrics) -> Leave {
+        let (returns, term, deciding) = (Cell::default(), RefCell::default(), Cell::default());
+        Leave { holds, member, own, metrics, returns, term, deciding }
+    }
+
+    fn keepers(&self) -> Keepers {
+        let settings = self.member.settings();
+        let who = Who::Member { name: settings.name.clone() };
+        Keepers::new(&settings.installation, who, settings.keepers.clone(), settings.bind)
+    }
+
+    /// Which life of this dispatcher it is: higher with every session and every return.
+    fn number(&self) -> u64 {
+        let session = self.member.holder().borrow().last_session().map_or(0, |session| session.incarnation);
+        session << 20 | self.returns.get()
+    }
+
+    fn standing(&self) -> Standing {
+        let serving = *self.own.phase.borrow() == Phase::Serving && *self.own.mode.borrow() == Mode::Active;
+        let settings = self.member.settings();
+        Standing {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            number: self.number(),
+            serves: serving && *self.own.ready.borrow(),
+        }
+    }
+
+    /// The owner of the account asks how this dispatcher is; its token was found good.
+    pub(super) fn heard(&self) -> Vec<u8> {
+        self.standing().pack()
+    }
+
+    /// Goes to standby if the fleet allows it, or somebody insists.
+    ///
+    /// # Errors
+    /// It does not, and says why at once.
+    pub(super) async fn standby(&self, reason: &str, force: bool) -> Result<(), Denied> {
+        if *self.own.mode.borrow() == Mode::Standby {
+            return Ok(());
+        }
+        if self.deciding.replace(true) {
+            return denied("another call for standby is being decided on", AGAIN.0);
+        }
+        let decided = self.decide(reason, force).await;
+        self.deciding.set(false);
+        match &decided {
+            Ok(()) => tracing::info!(reason, force, "standby: no new work is invited"),
+            Err(denied) => {
+                self.metrics.denied.inc();
+                tracing::info!(reason, why = denied.why, "standby is refused");
+            }
+        }
+        decided
+    }
+
+    async fn decide(&self, reason: &str, force: bool) -> Result<(), Denied> {
+        let by = Instant::now() + DECIDED;
+        let (mut keepers, name) = (self.keepers(), &self.member.settings().name);
+        let number = self.number();
+        let target = Target { kind: Kind::Dispatcher, name: name.clone() };
+        let ask =
+            Change::Ask { target, reason: reason.to_owned(), asker: format!("dispatcher/{name}"), force };
+        let permit = match keepers.ask(&Ask::Change(ask), by).await {
+            Ok(Answer::Changed(Outcome::Asked(permit, State::Waiting))) => {
+                let held = match keepers.ask(&Ask::Account { known: 0 }, by).await {
+                    Ok(Answer::Account(_, Some(account))) => {
+                        account.held_by(permit).map(|budget| format!(": budget {:?} is used up", budget.name))
+                    }
+                    _ => None,
+                };
+                let held = held.unwrap_or_default();
+                return denied(format!("permit {permit} waits for its turn{held}"), AGAIN.0);
+            }
+            Ok(Answer::Changed(Outcome::Asked(permit, _))) => permit,
+            Ok(Answer::Changed(Outcome::Refused(why))) => return denied(why.to_string(), AGAIN.1),
+            Ok(Answer::Refused(reason)) => return denied(reason.to_string(), AGAIN.1),
+            Ok(other) => return denied(format!("an answer that was not asked for: {other:?}"), AGAIN.1),
+            Err(why) if force => {
+                tracing::warn!(why, "standby is forced without the keepers");
+                self.metrics.forced.inc();
+                self.go(None);
+                return Ok(());
+            }
+            Err(why) => {
+                return denied(
+                    format!("no majority of the keepers answers ({why}); serving goes on"),
+                    AGAIN.1,
+                )
+            }
+        };
+        let begin = Change::Begin { permit, incarnation: number };
+        match keepers.ask(&Ask::Change(begin), by).await {
+            Ok(Answer::Changed(Outcome::Begun(_))) => {}
+            Ok(Answer::Changed(Outcome::Refused(Refusal::NoPermit))) => {
+                return denied("the permit before this one is not over yet", AGAIN.0)
+            }
+            Ok(Answer::Changed(Outcome::Refused(why))) => return denied(why.to_string(), AGAIN.0),
+            other => return denied(format!("the permit could not be begun: {other:?}"), AGAIN.0),
+        }
+        // Whoever was stopped meanwhile may have been seen as another life: then the permit may be over.
+        let now = clock::now();
+        if self.member.holder().borrow().session(now).is_none() || self.number() != number {
+            return denied("this dispatcher lost its session meanwhile", AGAIN.0);
+        }
+        if force {
+            self.metrics.forced.inc();
+        }
+        self.go(Some(permit));
+        Ok(())
+    }
+
+    fn go(&self, permit: Option<u64>) {
+        self.own.mode.send_replace(Mode::Standby);
+        self.member.record().put(clock::now(), "standby", serde_json::json!({"permit": permit}));
+    }
+
+    /// Returned from standby: another life.
+    pub(super) fn returned(&self) {
+        self.returns.set(self.returns.get() + 1);
+        self.member.record().put(clock::now(), "active", serde_json::json!({"number": self.number()}));
+    }
+
+    /// Asks all how they are and tells the account, while that duty is ours, for as long as the program runs.
+    pub(super) async fn rounds(self: Rc<Self>) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut keepers = self.keepers();
+        let (mut known, mut account, mut count) = (0, Account::default(), 0u32);
+        loop {
+            rounds.tick().await;
+            self.own_term();
+            if self.term.borrow().is_none() {
+                (known, account) = (0, Account::default());
+                continue;
+            }
+            count = count.wrapping_add(1);
+            let by = Instant::now() + DECIDED;
+            match keepers.ask(&Ask::Account { known }, by).await {
+                Ok(Answer::Account(revision, Some(new))) => (known, account) = (revision, *new),
+                Ok(Answer::Account(..)) => {}
+                _ => continue,
+            }
+            let Some((token, targets)) = self.look(&account) else { continue };
+            if targets.is_empty() && !(account.waits() && count % SELDOM == 0 || waiting(&account)) {
+                continue;
+            }
+            // The look at the lease comes right before the word; the keepers look at the token besides.
+            if !self.member.may_act(&DutyId::fleet(ACCOUNT), token) {
+                continue;
+            }
+            let observe = Change::Observe { token: token.0, seen: known, targets, gone: Vec::new() };
+            let what = serde_json::json!({"duty": ACCOUNT, "token": token.0});
+            self.member.record().put(clock::now(), "acted", what);
+            let _ = keepers.ask(&Ask::Change(observe), by).await;
+        }
+    }
+
+    fn own_term(&self) {
+        let now = clock::now();
+        let duty = DutyId::fleet(ACCOUNT);
+        let owned = self.member.owned().into_iter().find(|(owned, _)| *owned == duty);
+        let mut term = self.term.borrow_mut();
+        match owned {
+            Some((_, token)) if term.as_ref().is_some_and(|term| term.token == token) => {}
+            Some((duty, token)) => {
+                tracing::info!(token = token.0, "observes the fleet for the account of who may be out");
+                let census = Rc::new(RefCell::new(Census::new(self.holds, now)));
+                let hears = census.clone();
+                let publisher = Publisher::hearing(&self.member, duty, token, move |said| {
+                    if let Some(standing) = Standing::unpack(said) {
+                        hears.borrow_mut().heard(standing, clock::now());
+                    }
+                });
+                *term = Some(Term { token, census, publisher });
+            }
+            None => *term = None,
+        }
+        if let Some(term) = term.as_mut() {
+            term.publisher.say(Vec::new());
+            term.census.borrow_mut().heard(self.standing(), now);
+        }
+    }
+
+    /// Who is not as the account has them.
+    fn look(&self, account: &Account) -> Option<(Token, Vec<cairncrank_release::Observed>)> {
+        let term = self.term.borrow();
+        let term = term.as_ref()?;
+        let roster = self.member.roster();
+        let members: Vec<(&str, &str)> =
+            roster.iter().map(|peer| (peer.name.as_str(), peer.zone.as_str())).collect();
+        let seen = term.census.borrow().look(clock::now(), &members, account)?;
+        Some((term.token, seen))
+    }
+}
+
+/// Whether somebody waits for a permit, or for the proof that ends one.
+fn waiting(account: &Account) -> bool {
+    account.permits().values().any(|permit| permit.state == State::Waiting || permit.done.is_some())
+}
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 pub mod http;
 pub mod inherit;
+pub mod leave;
 mod probe;
 pub mod signal;
 mod watchers;
@@ -91,10 +92,12 @@
     let (config, configs) = watch::channel(Rc::new(config));
     let pool = worker::Pool::new(configs.clone(), clock, handle.clone(), metrics.clone());
     let first = configs.borrow().clone();
+    let (ready, is_ready) = watch::channel(false);
     let fleet = match &first.fleet {
         Some(settings) => {
-            let own = (&pool, engine.usual_job());
-            fleet::start(settings, &first, phase.clone(), own, metrics.fleet()).await.map(Some)
+            let work = (&pool, engine.usual_job());
+            let own = leave::Own { mode: mode.clone(), ready: is_ready.clone(), phase: phase.clone() };
+            fleet::start(settings, &first, phase.clone(), work, (metrics.fleet(), own)).await.map(Some)
         }
         None => Ok(None),
     };
@@ -105,7 +108,10 @@
     });
     let mut pool = spawn_local(worker::run(pool, orders));
     let mut engine = spawn_local(engine.run(inputs));
-    let (ready, is_ready) = watch::channel(false);
+    let (fleet, leave) = match fleet {
+        Some(fleet::Joined { lists, news, leave }) => (Some((lists, news)), leave),
+        None => (None, None),
+    };
     let mut follow = spawn_local(discovery::follow(configs.clone(), handle.clone(), ready, fleet));
     let mut renew = spawn_local(renew(reload, config, handle.clone(), metrics.clone()));
     if let Some(at) = at {
@@ -117,7 +123,7 @@
                 let ready = Box::new(move || {
                     client::says_yes(*heard.borrow(), since, *phase.borrow(), console::Mode::Active)
                 });
-                let console = console::Console { metrics: metrics.clone(), mode, ready };
+                let console = console::Console { metrics: metrics.clone(), mode, ready, leave };
                 spawn_local(console::serve(listener, Rc::new(console)));
             }
             Err(error) => tracing::error!(%error, %at, "the console cannot listen"),
--- a/crates/cairncrank/src/own.rs
+++ b/crates/cairncrank/src/own.rs
@@ -29,6 +29,8 @@
 /// How long an owner of the list may say nothing, in milliseconds, where the file does not say: as long as a watch on
 /// discovery may be silent, and a little for the way.
 const SILENCE_MS: u64 = 3_000;
+/// How long what a dispatcher says of itself counts, in milliseconds, where the file does not say.
+const HOLDS_MS: u64 = 1_000;
 /// How many dispatchers of a fleet without an owner go back to asking discovery each second.
 const FALLBACK_PER_S: f64 = 20.0;
 
@@ -59,6 +61,8 @@
     pub record: Option<PathBuf>,
     /// How workers are watched by one member each, where they are.
     pub watch: Option<Watching>,
+    /// How long what a dispatcher says of itself counts, where drains are agreed across the fleet.
+    pub account: Option<Micros>,
     /// How the budgets of cold workers are handed out by one member, where they are.
     pub cold: Option<Dealing>,
 }
@@ -143,6 +147,10 @@
         silence: section.whole("silence_ms", 1_000..=600_000)?.unwrap_or(SILENCE_MS) * 1_000,
         fallback_per_s: section.number("fallback_per_s", 0.1..=10_000.0)?.unwrap_or(FALLBACK_PER_S),
         record: section.text("record")?.map(PathBuf::from),
+        account: section
+            .section("account")?
+            .map(|account| Ok(account.whole("holds_ms", 300..=60_000)?.unwrap_or(HOLDS_MS) * 1_000))
+            .transpose()?,
         cold: section.section("cold")?.map(|cold| settings::dealing(cold, &times)).transpose()?,
         watch: section.section("watch")?.map(settings::watching).transpose()?,
     })
--- a/crates/cairncrank/tests/console.rs
+++ b/crates/cairncrank/tests/console.rs
@@ -8,7 +8,7 @@
 
 fn console(ready: bool) -> (Console, watch::Receiver<Mode>) {
     let (mode, modes) = watch::channel(Mode::Active);
-    (Console { metrics: Rc::new(Metrics::new()), mode, ready: Box::new(move || ready) }, modes)
+    (Console { metrics: Rc::new(Metrics::new()), mode, ready: Box::new(move || ready), leave: None }, modes)
 }
 
 fn status(message: &[u8]) -> u16 {
