--- /dev/null
+++ b/crates/cairncrank-lab/examples/careless_dispatcher.rs
@@ -0,0 +1,42 @@
+//! A dispatcher with seeded bugs, to show that the drive over sockets catches them: it follows no list, sends nothing
+//! to any worker, answers every second request with a result of its own and the others not at all.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+fn main() -> std::io::Result<()> {
+    // Called as the program is: serve --config FILE.
+    let file = std::env::args().nth(3).unwrap_or_default();
+    let config: serde_json::Value = serde_json::from_slice(&std::fs::read(file)?)?;
+    let listener = TcpListener::bind(config["listen"].as_str().unwrap_or_default())?;
+    for stream in listener.incoming() {
+        let stream = stream?;
+        std::thread::spawn(move || serve(stream));
+    }
+    Ok(())
+}
+
+fn serve(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let (mut first, mut id) = (String::new(), String::new());
+        if reader.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            match line.trim_end().split_once(": ") {
+                Some(("Request-Id", value)) => id = value.to_owned(),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        if id.ends_with(['1', '3', '5', '7', '9', 'b', 'd', 'f']) {
+            std::thread::sleep(Duration::from_secs(30));
+        }
+        let body = if first.contains("/healthz") { "ready".to_owned() } else { format!("{id} made up") };
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    }
+}
