--- a/crates/cairncrank-lab/src/router.rs
+++ b/crates/cairncrank-lab/src/router.rs
@@ -38,6 +38,30 @@
     }
 }
 
+/// The same on a machine whose clock is ahead by so many seconds.
+pub fn ahead_by(seconds: Seconds, router: Box<dyn Router>) -> Box<dyn Router> {
+    match seconds > 0.0 {
+        true => Box::new(Ahead { seconds, router }),
+        false => router,
+    }
+}
+
+struct Ahead {
+    seconds: Seconds,
+    router: Box<dyn Router>,
+}
+
+impl Router for Ahead {
+    fn start(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        self.router.start(now + self.seconds, actions);
+    }
+
+    fn on_event(&mut self, now: Seconds, event: Event<'_>, actions: &mut Vec<Action>, sight: &dyn Sight) {
+        // What is to be done is told by how long from now: only the event's own times are of the right clock.
+        self.router.on_event(now + self.seconds, event, actions, sight);
+    }
+}
+
 struct Module(Dispatcher);
 
 impl Router for Module {
--- a/crates/cairncrank-lab/src/run.rs
+++ b/crates/cairncrank-lab/src/run.rs
@@ -4,12 +4,13 @@
 use std::io;
 use std::path::Path;
 
+use cairncrank_core::api::Settings;
 use indicatif::ProgressBar;
 use rayon::prelude::*;
 
 use crate::day::Day;
 use crate::figures::Figures;
-use crate::router::router;
+use crate::router::{ahead_by, router};
 use crate::sockets;
 use crate::spec::{Arm, Experiment, RouterKind};
 use crate::virtual_time;
@@ -38,7 +39,10 @@
             let day = Day::draw(experiment, &experiment.cases[case], seed);
             let arms = experiment.arms.iter().enumerate();
             arms.map(|(arm, spec)| {
-                let make = |settings, seed| router(spec.router, settings, seed);
+                let make = |settings: Settings, seed| {
+                    let ahead = if settings.instance % 2 == 1 { spec.clock_error } else { 0.0 };
+                    ahead_by(ahead, router(spec.router, settings, seed))
+                };
                 let record = virtual_time::play(experiment, spec, &day, &make);
                 done.inc(1);
                 Run { arm, case, seed, figures: Figures::judge(experiment, &day, &record) }
--- a/crates/cairncrank-lab/src/spec.rs
+++ b/crates/cairncrank-lab/src/spec.rs
@@ -174,6 +174,8 @@
     pub quota: f64,
     /// The most attempts of a request, where the arm sets it.
     pub attempts: Option<u32>,
+    /// Every second dispatcher is told a time that is later by this, in seconds, as if its machine's clock were wrong.
+    pub clock_error: f64,
     /// Second copies are allowed.
     pub copies: bool,
     /// Room for large jobs.
@@ -623,6 +625,7 @@
         router: need(s, "router", s.word("router", &routers)?)?,
         quota: s.number("quota", 0.0..=100.0)?.unwrap_or(1.0),
         attempts: s.whole("attempts", 1..=100)?.map(|attempts| attempts as u32),
+        clock_error: s.number("clock_error_s", 0.0..=1e6)?.unwrap_or(0.0),
         copies: s.flag("copies")?.unwrap_or(true),
         room: match s.section("room")? {
             None => None,
