--- a/crates/cairncrank-lab/tests/list_duty.rs
+++ b/crates/cairncrank-lab/tests/list_duty.rs
@@ -155,6 +155,36 @@
     });
 }
 
+/// Two of three disks are lost: nobody invents what was on them. Those two stop, the third agrees on nothing and says so,
+/// and the dispatchers go on by themselves.
+#[test]
+fn two_of_three_lost_disks_are_a_clear_stop() {
+    play(async {
+        let (_dir, mut fleet) = start(true).await;
+        for lost in [1, 2] {
+            fleet.lose_disk(lost).unwrap();
+            fleet.start_keeper(lost).unwrap();
+        }
+        for lost in [1, 2] {
+            let start = Instant::now();
+            let code = loop {
+                if let Some(code) = fleet.keeper_ended(lost) {
+                    break code;
+                }
+                assert!(start.elapsed() < Duration::from_secs(10), "keeper {lost} goes on without its store");
+                sleep(Duration::from_millis(20)).await;
+            };
+            assert_eq!(code, 4, "{}", fleet.keeper_log(lost));
+            assert!(fleet.keeper_log(lost).contains("bootstrap"), "{}", fleet.keeper_log(lost));
+        }
+        fleet.watches(DISPATCHERS as u64).await.unwrap();
+        let said = fleet.keeper_tool(3, &["members"]).await.unwrap_err();
+        assert!(said.contains("no keeper leads"), "{said}");
+        fleet.discovery.change(0, "terminated");
+        fleet.all_know(WORKERS - 1).await.unwrap();
+    });
+}
+
 #[test]
 fn without_a_fleet_each_asks_for_itself() {
     play(async {
