Believe no start that is in the future, or long before discovery was heard last

Change: Fleet::enlist keeps beside what the list says when the start is believed to have been (born): not after now, and for one that discovery did not name when it was heard last, not more than 5 s before that. The module's warmth uses it. Saved lists count as before.

Unit test in load.rs.

--- a/crates/cairncrank-core/src/load.rs
+++ b/crates/cairncrank-core/src/load.rs
@@ -77,7 +77,7 @@
         if w.since <= 0.0 || self.warm_within <= 0.0 {
             return 1.0;
         }
-        let age = ((now - w.since) / self.warm_within).clamp(0.0, 1.0);
+        let age = ((now - w.born) / self.warm_within).clamp(0.0, 1.0);
         self.cold_share + (1.0 - self.cold_share) * age
     }
 
@@ -176,7 +176,7 @@
         };
         fleet.kinds.push(crate::state::Kind::default());
         fleet.enlist(&member, 0, 0.0);
-        fleet.rebuild(0);
+        fleet.rebuild(0, None);
         let at = Present { now: 1.0, window: 0.3 };
         let told =
             |free: f64, held: f64| Load { free_slots: Some(free), in_flight: Some(held), ..Load::default() };
@@ -186,4 +186,38 @@
         assert!(fleet.others(&fleet.workers[0], at) > 3.0);
         assert_eq!(fleet.reported(0, &Load::default(), 1.0, at), None);
     }
+
+    /// Found by experiments/wrong-clocks.hcl: a clock that is an hour ahead made every cold worker look warm, and one that
+    /// is behind would make every warm one look cold.
+    #[test]
+    fn how_warm_a_worker_is_does_not_rest_on_the_clocks_of_others() {
+        let mut fleet = Fleet::default();
+        (fleet.cold_share, fleet.warm_within) = (0.2, 20.0);
+        let member = |worker, since| crate::api::Member {
+            worker: crate::api::WorkerId(worker),
+            kind: 0,
+            zone: 0,
+            cell: 0,
+            since,
+            state: crate::api::WorkerState::Serving,
+        };
+        fleet.kinds.push(crate::state::Kind::default());
+        let warmth = |fleet: &Fleet, worker: usize, now| {
+            (fleet.warmth(&fleet.workers[worker], now) * 1e6).round() / 1e6
+        };
+        // What was there before is as old as the list says, but did not start in the future.
+        fleet.enlist(&member(1, 9_990.0), 0, 10_000.0);
+        fleet.enlist(&member(2, 13_600.0), 0, 10_000.0);
+        fleet.rebuild(0, Some(10_000.0));
+        assert_eq!((warmth(&fleet, 0, 10_000.0), warmth(&fleet, 1, 10_000.0)), (0.6, 0.2));
+        assert_eq!(warmth(&fleet, 1, 10_020.0), 1.0, "not an hour later");
+        // One that comes later, or again, started after discovery was heard last, or shortly before.
+        fleet.enlist(&member(3, 6_400.0), 0, 10_010.0);
+        fleet.enlist(&member(2, 13_601.0), 0, 10_010.0);
+        assert_eq!((warmth(&fleet, 2, 10_010.0), warmth(&fleet, 1, 10_010.0)), (0.8, 0.2));
+        // Named again it is the same start.
+        fleet.rebuild(0, Some(10_010.0));
+        fleet.enlist(&member(3, 6_400.0), 0, 10_014.0);
+        assert_eq!(warmth(&fleet, 2, 10_015.0), 1.0);
+    }
 }
--- a/crates/cairncrank-core/src/policy/list.rs
+++ b/crates/cairncrank-core/src/policy/list.rs
@@ -40,7 +40,7 @@
             self.fleet.kinds.resize(self.fleet.kinds.len().max(kind + 1), Kind::default());
             self.fleet.enlist(m, kind, self.now);
         }
-        self.fleet.rebuild(self.cfg.zone);
+        self.fleet.rebuild(self.cfg.zone, (scope != Scope::Saved).then_some(self.now));
         self.room.divide(&self.fleet.workers);
     }
 }
--- a/crates/cairncrank-core/src/policy/mod.rs
+++ b/crates/cairncrank-core/src/policy/mod.rs
@@ -166,7 +166,7 @@
         self.fleet.configure(&cfg);
         self.cfg = cfg;
         self.size_banks();
-        self.fleet.rebuild(self.cfg.zone);
+        self.fleet.rebuild(self.cfg.zone, None);
         self.room.divide(&self.fleet.workers);
     }
 
--- a/crates/cairncrank-core/src/state.rs
+++ b/crates/cairncrank-core/src/state.rs
@@ -195,7 +195,9 @@
     /// The place of its kind in its zone.
     pub cohort: usize,
     pub cell: u32,
+    /// When it started, as the list says, and as is believed by this dispatcher's own clock.
     pub since: Seconds,
+    pub born: Seconds,
     pub state: WorkerState,
     /// Slots and attempts of ours that are out.
     pub ours: f64,
@@ -349,8 +351,13 @@
     pub cold_share: f64,
     pub warm_within: Seconds,
     places: FxHashMap<(u32, usize), usize>,
+    /// When discovery was heard last.
+    heard: Option<Seconds>,
 }
 
+/// A start that discovery knows of is in its list after this at the latest, in seconds.
+const LISTED_WITHIN: Seconds = 5.0;
+
 /// What is usual among the workers of one kind in one zone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Cohort {
@@ -372,8 +379,10 @@
         (self.cold_share, self.warm_within) = (cfg.cold_share, cfg.warm_within);
     }
 
-    /// Brings the zones and the ring in line with the workers; `zone` exists even if it has none.
-    pub(crate) fn rebuild(&mut self, zone: u32) {
+    /// Brings the zones and the ring in line with the workers; `zone` exists even if it has none. `heard` where it was
+    /// discovery that told of them.
+    pub(crate) fn rebuild(&mut self, zone: u32, heard: Option<Seconds>) {
+        self.heard = heard.or(self.heard);
         let zones = self.workers.iter().map(|w| w.zone).chain([zone]).max();
         self.zones = vec![Vec::new(); zones.unwrap_or(0).min(MAX_ZONE) as usize + 1];
         self.outages.resize(self.zones.len(), Outage::default());
@@ -400,12 +409,16 @@
     /// Takes a line of the list.
     pub(crate) fn enlist(&mut self, m: &Member, kind: usize, now: Seconds) {
         let (id, since) = (m.worker, m.since);
+        // Clocks may be wrong by much: no start is in the future, and one that discovery did not name when it was heard
+        // last was not long before that.
+        let born = since.min(now).max(self.heard.map_or(0.0, |heard| heard - LISTED_WITHIN));
         let new = Worker {
             id,
             kind,
             zone: m.zone,
             cell: m.cell,
             since,
+            born,
             state: m.state,
             ours_at: now,
             ..Worker::default()
