Count a shop's workers in the account, and judge a new version beside the old one

Change: the observer tells the account of workers too: discovery's list says who is in service, watchers who fails, its own clock how warm one is since its start was first heard of. cairncrank-keeper permit ask|begin|done|void (8 = not now). A worker has no number of its own, since discovery's word of its start comes from the worker's clock: its permit ends by 'done' and a sight of it after that. judge.rs: given how many jobs went wrong on both sides of a window, how many of them are the new side's is hypergeometric; the product of likelihood ratios over windows is a test martingale, so a loss that both share blames nobody, and error rates hold however often it is asked. Nothing uses the judge yet.

A process test takes a shop's worker out by permit and holds the next until it is warm.

--- a/crates/cairncrank-fleet/src/list.rs
+++ b/crates/cairncrank-fleet/src/list.rs
@@ -74,6 +74,11 @@
         self.whole.then(|| json!({"revision": self.revision, "complete": true, "members": members}))
     }
 
+    /// The entries, in discovery's own words; none before a whole list was heard.
+    pub fn entries(&self) -> impl Iterator<Item = &Value> {
+        self.entries.values().filter(|_| self.whole)
+    }
+
     /// The revision of what is known.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/cairncrank-keeper/src/lib.rs
+++ b/crates/cairncrank-keeper/src/lib.rs
@@ -22,6 +22,8 @@
     Raft(String),
     /// Another keeper has taken this one's place.
     Replaced(String),
+    /// What was asked for has to wait.
+    NotNow(String),
     /// The address cannot be listened at, or another fault at the start.
     Start(String),
 }
@@ -36,6 +38,7 @@
             Stop::Later(_) => 5,
             Stop::Raft(_) => 6,
             Stop::Replaced(_) => 7,
+            Stop::NotNow(_) => 8,
         }
     }
 }
@@ -47,6 +50,7 @@
         | Stop::OldDisk(why)
         | Stop::Raft(why)
         | Stop::Replaced(why)
+        | Stop::NotNow(why)
         | Stop::Start(why)) = self;
         f.write_str(why)
     }
--- a/crates/cairncrank-keeper/src/main.rs
+++ b/crates/cairncrank-keeper/src/main.rs
@@ -8,7 +8,7 @@
 use cairncrank_fleet::record::Recorder;
 use cairncrank_keeper::config::{self, Config};
 use cairncrank_keeper::{ctl, disk, serve, Stop};
-use cairncrank_release::{Change, Target};
+use cairncrank_release::{Change, Outcome, State, Target};
 use lexopt::prelude::*;
 
 const HELP: &str = "\
@@ -23,6 +23,8 @@
   replace         --keeper NUMBER --with NEW --address IP:PORT: a new keeper takes the place of one that is gone or goes
   account         who may be out: budgets and what they have to do with, permits, targets that are not in
   budgets         --set FILE [--seen VERSION]: other budgets, HCL; refused where they were changed since that version
+  permit ask      --target KIND/NAME --by WHO [--reason TEXT] [--force]: says whether it is granted; 8 where it waits
+  permit begin    --permit N [--number M]: right before the step; done: after it; void: gives it back unbegun
   strike-off      --target KIND/NAME [--by WHO]: a target is gone for good, and its permits with it
   metrics         the figures of this keeper, for Prometheus, as text
   check-config    reads the configuration and says what is wrong with it
@@ -34,11 +36,12 @@
   --json          with status, members, duties and account: JSON
 
 Exit codes: 0 done, 1 fault, 2 bad usage, 3 the disk is an old copy or another's, 4 the store cannot be used,
-5 something was agreed on that this version does not know, 6 raft refused to go on, 7 replaced by another.
+5 something was agreed on that this version does not know, 6 raft refused to go on, 7 replaced by another, 8 not now.
 ";
 
 struct Args {
     command: String,
+    verb: String,
     config: Option<PathBuf>,
     record: Option<PathBuf>,
     duty: Option<DutyId>,
@@ -49,6 +52,10 @@
     set: Option<PathBuf>,
     seen: Option<u64>,
     target: Option<Target>,
+    permit: Option<u64>,
+    number: u64,
+    reason: Option<String>,
+    force: bool,
     by: Option<String>,
     joining: bool,
     level: tracing::Level,
@@ -59,6 +66,7 @@
     let mut parser = lexopt::Parser::from_env();
     let mut args = Args {
         command: String::new(),
+        verb: String::new(),
         config: None,
         record: None,
         duty: None,
@@ -69,6 +77,10 @@
         set: None,
         seen: None,
         target: None,
+        permit: None,
+        number: 0,
+        reason: None,
+        force: false,
         by: None,
         joining: false,
         level: tracing::Level::INFO,
@@ -77,6 +89,7 @@
     while let Some(arg) = parser.next()? {
         match arg {
             Value(command) if args.command.is_empty() => args.command = command.string()?,
+            Value(verb) if args.command == "permit" && args.verb.is_empty() => args.verb = verb.string()?,
             Long("config") => args.config = Some(parser.value()?.into()),
             Long("record") => args.record = Some(parser.value()?.into()),
             Long("duty") => args.duty = Some(parser.value()?.parse()?),
@@ -87,6 +100,10 @@
             Long("set") => args.set = Some(parser.value()?.into()),
             Long("seen") => args.seen = Some(parser.value()?.parse()?),
             Long("target") => args.target = Some(parser.value()?.parse()?),
+            Long("permit") => args.permit = Some(parser.value()?.parse()?),
+            Long("number") => args.number = parser.value()?.parse()?,
+            Long("reason") => args.reason = Some(parser.value()?.string()?),
+            Long("force") => args.force = true,
             Long("by") => args.by = Some(parser.value()?.string()?),
             Long("joining") => args.joining = true,
             Long("log") => args.level = parser.value()?.parse()?,
@@ -117,7 +134,7 @@
             return ExitCode::SUCCESS;
         }
         "bootstrap" | "serve" | "status" | "members" | "duties" | "release-duty" | "replace" | "metrics"
-        | "check-config" | "account" | "budgets" | "strike-off" => {}
+        | "check-config" | "account" | "budgets" | "permit" | "strike-off" => {}
         other => {
             eprintln!("cairncrank-keeper: {other:?} is no command\n\n{HELP}");
             return ExitCode::from(2);
@@ -158,6 +175,36 @@
     config.serve.as_ref().ok_or_else(|| Stop::Start("serve: the block is missing".to_owned()))
 }
 
+/// Asks for a permit, begins it, says that its step is done, or gives it back.
+async fn permit(args: &Args, config: &Config) -> Result<String, Stop> {
+    let missing = |key: &str| Stop::Start(format!("--{key} is missing"));
+    let number = || args.permit.ok_or_else(|| missing("permit"));
+    let change = match args.verb.as_str() {
+        "ask" => Change::Ask {
+            target: args.target.clone().ok_or_else(|| missing("target"))?,
+            reason: args.reason.clone().unwrap_or_default(),
+            asker: args.by.clone().ok_or_else(|| missing("by"))?,
+            force: args.force,
+        },
+        "begin" => Change::Begin { permit: number()?, incarnation: args.number },
+        "done" => Change::Done { permit: number()? },
+        "void" => Change::Void { permit: number()? },
+        other => return Err(Stop::Start(format!("permit {other:?}: wanted ask, begin, done or void"))),
+    };
+    match ctl::change(config, change).await.map_err(Stop::Start)? {
+        Outcome::Asked(permit, State::Waiting) => {
+            let (_, account) = ctl::account(config).await.map_err(Stop::Start)?;
+            let held = account
+                .held_by(permit)
+                .map_or(String::new(), |held| format!(", held by budget {:?}", held.name));
+            Err(Stop::NotNow(format!("permit {permit} waits for its turn{held}; ask again within a minute")))
+        }
+        Outcome::Asked(permit, state) => Ok(format!("{permit} {}\n", format!("{state:?}").to_lowercase())),
+        Outcome::Begun(permit) => Ok(format!("{permit} begun\n")),
+        _ => Ok(String::new()),
+    }
+}
+
 async fn run(args: &Args, config: &Config) -> Result<String, Stop> {
     match args.command.as_str() {
         "bootstrap" => {
@@ -273,6 +320,7 @@
             ctl::change(config, Change::Budgets { seen, budgets }).await.map_err(Stop::Start)?;
             Ok(format!("{count} budgets hold from now on\n"))
         }
+        "permit" => permit(args, config).await,
         "strike-off" => {
             let target = args.target.clone().ok_or_else(|| Stop::Start("--target is missing".to_owned()))?;
             let by = args.by.clone().unwrap_or_else(|| "an operator".to_owned());
--- a/crates/cairncrank-lab/src/fleet/drains.rs
+++ b/crates/cairncrank-lab/src/fleet/drains.rs
@@ -56,6 +56,8 @@
     pub length: Duration,
     /// How often a fault begins, on the mean.
     pub every: Duration,
+    /// After how long a worker is warm, in seconds.
+    pub warm_s: f64,
     /// A flaw in the keepers' account.
     pub flaw: Option<String>,
     /// Draws the faults and the operators' calls.
@@ -69,6 +71,7 @@
             dispatchers: 6,
             length: Duration::from_secs(20),
             every: Duration::from_secs(3),
+            warm_s: 24.0,
             flaw: None,
             seed: 1,
         }
@@ -212,7 +215,10 @@
     let said = fleet.keeper_tool(1, &["account", "--json"]).await.unwrap_or_default();
     let all: serde_json::Value = serde_json::from_str(&said).unwrap_or_default();
     let targets = all["account"]["targets"].as_array();
-    targets.map_or(0, |targets| targets.iter().filter(|target| target["in"] == 1.0).count())
+    let inside = |target: &&serde_json::Value| {
+        target["in"] == 1.0 && target["target"].as_str().is_some_and(|name| name.starts_with("dispatcher/"))
+    };
+    targets.map_or(0, |targets| targets.iter().filter(inside).count())
 }
 
 fn settings(plan: &Plan) -> serde_json::Value {
@@ -227,7 +233,7 @@
                      "parallel-tries": true, "probes": false, "retry-after": true, "send-cap": 4},
             "family-info": {"tells-start": true, "class-stretch": [2.0], "class-kind": [-1]},
             "obligations": {"cold-share": 0.14, "drain-grace-s": 0.5, "fall-multiple": 3.0, "tip-after-s": 1.5,
-                            "warm-within-s": 24.0},
+                            "warm-within-s": plan.warm_s},
             "charges": {"cross-zone": 0.025}
         }
     })
--- a/crates/cairncrank-lab/tests/drains.rs
+++ b/crates/cairncrank-lab/tests/drains.rs
@@ -152,6 +152,59 @@
     });
 }
 
+/// A shop's release of its workers asks by the command line, one after another of a pool.
+#[test]
+fn a_shops_workers_are_taken_out_by_permits_too() {
+    let budgets = format!(
+        "{BUDGETS}budget \"pools\" {{\n  targets = \"workers\"\n  of = \"each-pool\"\n  most_out = 1\n}}\n"
+    );
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        // Workers are warm within 2 s here.
+        let plan = Plan { dispatchers: 3, warm_s: 2.0, ..Plan::default() };
+        let fleet = start(dir.path(), Binaries::beside_tests().unwrap(), &plan, &budgets).await.unwrap();
+        let ask = |worker: usize| {
+            let (fleet, target) = (&fleet, format!("worker/w-{worker:04}"));
+            async move {
+                let by = ["permit", "ask", "--target", &target, "--by", "the shop", "--reason", "release"];
+                fleet.keeper_tool(1, &by).await
+            }
+        };
+        let until_granted = |worker: usize| {
+            let ask = &ask;
+            async move {
+                let start = Instant::now();
+                loop {
+                    match ask(worker).await {
+                        Ok(said) => break said.split_whitespace().next().unwrap().to_owned(),
+                        Err(why) => assert!(start.elapsed() < Duration::from_secs(15), "{why}"),
+                    }
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        };
+        let first = until_granted(0).await;
+        fleet.keeper_tool(1, &["permit", "begin", "--permit", &first]).await.unwrap();
+        ask(1).await.unwrap_err();
+        sleep(Duration::from_millis(800)).await;
+        let why = ask(1).await.unwrap_err();
+        assert!(why.contains("waits for its turn") && why.contains("pools"), "{why}");
+        // It drains, ends, and is back: cold, so that the next one waits until it is warm.
+        for phase in ["terminating", "terminated", "in_service"] {
+            fleet.discovery.turn(0, phase);
+            sleep(Duration::from_millis(400)).await;
+        }
+        fleet.keeper_tool(1, &["permit", "done", "--permit", &first]).await.unwrap();
+        let back = Instant::now();
+        let second = until_granted(1).await;
+        assert!(second != first && back.elapsed() > Duration::from_millis(500), "{:?}", back.elapsed());
+        fleet.keeper_tool(1, &["permit", "void", "--permit", &second]).await.unwrap();
+        let late = fleet.keeper_tool(1, &["permit", "begin", "--permit", &second]).await.unwrap_err();
+        assert!(late.contains("no such permit is open"), "{late}");
+    });
+}
+
 fn played(plan: &Plan) -> Drained {
     let dir = tempfile::tempdir().unwrap();
     play(dir.path(), &Binaries::beside_tests().unwrap(), plan).unwrap()
--- a/crates/cairncrank-release/src/lib.rs
+++ b/crates/cairncrank-release/src/lib.rs
@@ -15,12 +15,14 @@
 //! 5. **Nothing is granted but by an observation that was made after the permit was asked for.**
 //!
 //! [`Budget`] says how many, [`Account`] keeps the account, [`Change`] is what changes it. [`desk`] is what the leading
-//! keeper knows of time, [`census`] what an observer makes of the dispatchers' word.
+//! keeper knows of time, [`census`] what an observer makes of the dispatchers' word;
+//! [`judge`] says whether a new version does worse than the old one beside it.
 
 mod account;
 mod budget;
 pub mod census;
 pub mod desk;
+pub mod judge;
 
 pub use account::{
     Account, Change, Condition, Flaw, Forced, Granted, Observed, Outcome, Permit, PermitId, Refusal, State,
--- a/crates/cairncrank/src/net/fleet.rs
+++ b/crates/cairncrank/src/net/fleet.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cairncrank_core::settings::worker_id;
 use cairncrank_duty::{DutyId, Holder, Micros};
 use cairncrank_fleet::clock;
 use cairncrank_fleet::cold::{Dealing, Warming, COLD};
@@ -17,7 +18,7 @@
 use cairncrank_fleet::member::{Ended, Member, Settings};
 use cairncrank_fleet::record::Recorder;
 use cairncrank_fleet::watch::Watching;
-use cairncrank_release::census::ACCOUNT;
+use cairncrank_release::census::{Listed, Warmth, ACCOUNT};
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -110,10 +111,13 @@
         Rc::new(Colds::new(both, member.clone(), pool.clone(), metrics.clone(), usual, config.seed ^ 0xc01d))
     });
     colds.iter().for_each(|colds| drop(spawn_local(colds.clone().rounds())));
-    let leave =
-        settings.account.map(|holds| Rc::new(Leave::new(holds, member.clone(), own, metrics.clone())));
+    let leave = settings.account.map(|holds| {
+        let cold = warming(config);
+        let warmth = Warmth::new(cold.share, cold.within);
+        Rc::new(Leave::new(holds, member.clone(), own, metrics.clone(), warmth))
+    });
     leave.iter().for_each(|leave| drop(spawn_local(leave.clone().rounds())));
-    let leaver = leave.clone();
+    let (leaver, watches) = (leave.clone(), watchers.clone());
     spawn_local(receive(member.clone(), listener, move |effect| match effect.duty.name.as_str() {
         LIST => {
             if let Ok(news) = serde_json::from_slice::<News>(&effect.body) {
@@ -144,6 +148,10 @@
         told: Cell::default(),
         heard: Cell::default(),
     });
+    if let Some(leave) = &leave {
+        let ledger = lists.clone();
+        leave.observes(Box::new(move || ledger.workers(watches.as_deref())));
+    }
     spawn_local(lists.clone().rounds());
     spawn_local(stay(member.clone()));
     spawn_local(give_back(member, phase));
@@ -191,6 +199,24 @@
 }
 
 impl Lists {
+    /// The workers of the list, as watchers see them.
+    fn workers(&self, watchers: Option<&Watchers>) -> Vec<Listed> {
+        let ledger = self.ledger.borrow();
+        let listed = |entry: &Value| {
+            let text = |key: &str| entry[key].as_str().unwrap_or_default().to_owned();
+            let name = text("id");
+            Listed {
+                zone: text("locality"),
+                pool: text("flavor"),
+                serves: entry["phase"] == "in_service",
+                start: entry["up_since_ms"].as_u64().unwrap_or(0),
+                fails: watchers.is_some_and(|watchers| watchers.against(worker_id(&name))),
+                name,
+            }
+        };
+        ledger.entries().map(listed).collect()
+    }
+
     /// Turns true when discovery is to be asked from here, and false when the fleet's list is relied on.
     pub(super) fn asks(&self) -> watch::Receiver<bool> {
         self.asks.subscribe()
--- a/crates/cairncrank/src/net/leave.rs
+++ b/crates/cairncrank/src/net/leave.rs
@@ -13,8 +13,8 @@
 use cairncrank_fleet::keepers::Keepers;
 use cairncrank_fleet::member::Member;
 use cairncrank_fleet::wire::{Answer, Ask, Who};
-use cairncrank_release::census::{Census, Standing, ACCOUNT};
-use cairncrank_release::{Account, Change, Kind, Outcome, Refusal, State, Target};
+use cairncrank_release::census::{Census, Listed, Standing, Warmth, ACCOUNT};
+use cairncrank_release::{Account, Change, Kind, Observed, Outcome, Refusal, State, Target};
 use tokio::sync::watch;
 use tokio::time::{interval, Instant, MissedTickBehavior};
 
@@ -46,6 +46,9 @@
     pub(super) phase: watch::Receiver<Phase>,
 }
 
+/// The workers as they are listed and watched.
+pub(super) type Workers = Box<dyn Fn() -> Vec<Listed>>;
+
 struct Term {
     token: Token,
     census: Rc<RefCell<Census>>,
@@ -63,6 +66,8 @@
     term: RefCell<Option<Term>>,
     /// One standby is decided on at a time.
     deciding: Cell<bool>,
+    workers: RefCell<Option<Workers>>,
+    warmth: RefCell<Warmth>,
 }
 
 impl std::fmt::Debug for Leave {
@@ -76,9 +81,21 @@
 }
 
 impl Leave {
-    pub(super) fn new(holds: Micros, member: Member, own: Own, metrics: FleetMetrics) -> Leave {
+    pub(super) fn new(
+        holds: Micros,
+        member: Member,
+        own: Own,
+        metrics: FleetMetrics,
+        warmth: Warmth,
+    ) -> Leave {
         let (returns, term, deciding) = (Cell::default(), RefCell::default(), Cell::default());
-        Leave { holds, member, own, metrics, returns, term, deciding }
+        let (workers, warmth) = (RefCell::default(), RefCell::new(warmth));
+        Leave { holds, member, own, metrics, returns, term, deciding, workers, warmth }
+    }
+
+    /// Where the workers are known from.
+    pub(super) fn observes(&self, workers: Workers) {
+        *self.workers.borrow_mut() = Some(workers);
     }
 
     fn keepers(&self) -> Keepers {
@@ -219,23 +236,31 @@
                 Ok(Answer::Account(..)) => {}
                 _ => continue,
             }
-            let Some((token, targets)) = self.look(&account) else { continue };
-            if targets.is_empty() && !(account.waits() && count % SELDOM == 0 || waiting(&account)) {
+            let Some((token, targets, gone)) = self.look(&account) else { continue };
+            if targets.is_empty()
+                && gone.is_empty()
+                && !(account.waits() && count % SELDOM == 0 || waiting(&account))
+            {
                 continue;
             }
             // The look at the lease comes right before the word; the keepers look at the token besides.
             if !self.member.may_act(&DutyId::fleet(ACCOUNT), token) {
                 continue;
             }
-            let observe = Change::Observe { token: token.0, seen: known, targets, gone: Vec::new() };
+            let observe = Change::Observe { token: token.0, seen: known, targets, gone };
             let what = serde_json::json!({"duty": ACCOUNT, "token": token.0});
             self.member.record().put(clock::now(), "acted", what);
             let _ = keepers.ask(&Ask::Change(observe), by).await;
         }
     }
 
+    fn listed(&self) -> Vec<Listed> {
+        self.workers.borrow().as_ref().map_or_else(Vec::new, |workers| workers())
+    }
+
     fn own_term(&self) {
         let now = clock::now();
+        self.warmth.borrow_mut().list(now, &self.listed());
         let duty = DutyId::fleet(ACCOUNT);
         let owned = self.member.owned().into_iter().find(|(owned, _)| *owned == duty);
         let mut term = self.term.borrow_mut();
@@ -261,14 +286,22 @@
     }
 
     /// Who is not as the account has them.
-    fn look(&self, account: &Account) -> Option<(Token, Vec<cairncrank_release::Observed>)> {
+    fn look(&self, account: &Account) -> Option<(Token, Vec<Observed>, Vec<Target>)> {
         let term = self.term.borrow();
         let term = term.as_ref()?;
         let roster = self.member.roster();
         let members: Vec<(&str, &str)> =
             roster.iter().map(|peer| (peer.name.as_str(), peer.zone.as_str())).collect();
-        let seen = term.census.borrow().look(clock::now(), &members, account)?;
-        Some((term.token, seen))
+        let now = clock::now();
+        let mut seen = term.census.borrow().look(now, &members, account)?;
+        let workers = self.listed();
+        // Before a list was heard nothing is known of workers, which is not that they are gone.
+        let (changed, gone) = match workers.is_empty() {
+            true => (Vec::new(), Vec::new()),
+            false => self.warmth.borrow().look(now, &workers, account),
+        };
+        seen.extend(changed);
+        Some((term.token, seen, gone))
     }
 }
 
--- a/crates/cairncrank/src/net/watchers.rs
+++ b/crates/cairncrank/src/net/watchers.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Whether something is held against this worker here.
+    pub(super) fn against(&self, worker: WorkerId) -> bool {
+        self.told.borrow().contains_key(&worker.0)
+    }
+
     /// Watches for as long as the program runs.
     pub(super) async fn rounds(self: Rc<Self>) {
         let mut rounds = interval(ROUND);
