Hold calls without an answer against the drains' rules, and mend what a reading of the change found

Seen on reading: the drains' checker excused every call without an answer, since 'over' was set by the time it looked; an observation of many known targets was refused as too large; texts of targets had no bound; what holds a permit was worked out a second way that left out what is out already; a standby whose task ended in the middle barred all later ones; a budget that so many targets can never meet was told to nobody.

Change: 'over' is a time; one function says which budget is exceeded, over a set of planned targets; bounds count what is new; a mutex for the standby that is decided on; when an observation is wanted is said by the account; 'account' shows what can never be met.

--- a/crates/cairncrank-keeper/src/ctl.rs
+++ b/crates/cairncrank-keeper/src/ctl.rs
@@ -181,8 +181,10 @@
         let (out, unplanned) = (part(sum.by_plan), part(sum.unplanned));
         let _ = writeln!(
             text,
-            "  {}{place}: {out} out by plan, {unplanned} otherwise, of {}",
-            budget.name, sum.targets
+            "  {}{place}: {out} out by plan, {unplanned} otherwise, of {}{}",
+            budget.name,
+            sum.targets,
+            budget.fits(sum.targets).map_or_else(|fault| format!("; {fault}"), |()| String::new())
         );
     }
     if budgets.is_empty() {
--- a/crates/cairncrank-lab/src/fleet/drains.rs
+++ b/crates/cairncrank-lab/src/fleet/drains.rs
@@ -153,8 +153,8 @@
     turns: Vec<bool>,
     /// Dispatchers whose operators are to call now.
     hurry: Vec<bool>,
-    /// The end: nobody asks any more.
-    over: bool,
+    /// Since when nobody is to ask any more.
+    over: Option<u64>,
 }
 
 type Shared = Rc<RefCell<Notes>>;
@@ -262,11 +262,11 @@
     for (n, _) in notes.borrow().turns.iter().enumerate().filter(|(_, turn)| !**turn) {
         found.entry(RULES[3]).or_default().push(format!("d{n} did not within 30 s"));
     }
-    notes.borrow_mut().over = true;
+    notes.borrow_mut().over = Some(clock::now());
     drop(fleet);
     let records = records(dir, plan.keepers, plan.dispatchers)?;
     let notes = notes.borrow();
-    let mut drained = check(plan, &records, &notes, found);
+    let mut drained = check(&records, &notes, found);
     for fault in faults {
         let name = serde_json::to_value(fault).ok();
         let name = name.as_ref().and_then(|name| name.as_str()).unwrap_or_default().to_owned();
@@ -278,7 +278,8 @@
 /// Empties a dispatcher now and then: asks for standby until it is granted, waits, and makes it active again.
 async fn operator(notes: Shared, n: usize, console: std::net::SocketAddr, seed: u64) {
     let mut random = Pcg64::seed_from_u64(seed ^ (n as u64) << 24);
-    while !notes.borrow().over {
+    let over = || notes.borrow().over.is_some();
+    while !over() {
         let pause = Duration::from_millis(random.random_range(200..1_500));
         let until = Instant::now() + pause;
         while Instant::now() < until && !notes.borrow().hurry[n] {
@@ -289,7 +290,7 @@
             let answer = call(console, "POST", "/standby").await;
             let status = answer.as_ref().map_or(0, |(status, ..)| *status);
             notes.borrow_mut().calls.push((n, from, clock::now(), status));
-            if status == 200 || notes.borrow().over {
+            if status == 200 || over() {
                 break;
             }
             let after = answer.and_then(|(_, after, _)| after).unwrap_or(1);
@@ -297,7 +298,7 @@
         }
         sleep(Duration::from_millis(random.random_range(200..1_500))).await;
         // Until it is active again, or another process.
-        while !notes.borrow().over && call(console, "POST", "/active").await.is_none_or(|(s, ..)| s != 200) {
+        while !over() && call(console, "POST", "/active").await.is_none_or(|(s, ..)| s != 200) {
             sleep(Duration::from_millis(100)).await;
         }
         notes.borrow_mut().turns[n] = true;
@@ -432,12 +433,7 @@
     standbys
 }
 
-fn check(
-    plan: &Plan,
-    records: &Records,
-    notes: &Notes,
-    mut found: BTreeMap<&'static str, Vec<String>>,
-) -> Drained {
+fn check(records: &Records, notes: &Notes, mut found: BTreeMap<&'static str, Vec<String>>) -> Drained {
     let mut drained = Drained { budget: MOST, ..Drained::default() };
     let standbys = standbys(records, notes);
     drained.drains = standbys.len() as u64;
@@ -478,7 +474,8 @@
             notes.killed.iter().chain(&notes.stopped).any(|(whom, start, end)| {
                 whom == n && *start <= *at && *from <= end.saturating_add(2_000_000)
             });
-        if hurt || notes.over && *status == 0 {
+        // What was under way when all was ended is nobody's.
+        if hurt || notes.over.is_some_and(|over| *at >= over) {
             continue;
         }
         drained.longest_call_ms = drained.longest_call_ms.max((at - from) as f64 / 1e3);
@@ -490,7 +487,6 @@
     for (rule, texts) in checker::check(records) {
         found.entry(RULES[4]).or_default().extend(texts.iter().map(|text| format!("{rule}: {text}")));
     }
-    let _ = plan;
     drained.terms = checker::terms(records);
     drained.rules = found.into_iter().map(|(rule, texts)| (rule.to_owned(), texts)).collect();
     drained
@@ -532,3 +528,59 @@
     }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rules(notes: &Notes, keeper: &str, members: &[(&str, &str)]) -> Vec<String> {
+        let lines = |text: &str| text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+        let records = Records {
+            keepers: [(1, lines(keeper))].into(),
+            members: members.iter().map(|(name, text)| ((*name).to_owned(), lines(text))).collect(),
+        };
+        check(&records, notes, BTreeMap::new()).rules.into_keys().collect()
+    }
+
+    /// d0 and d3 are of one zone.
+    #[test]
+    fn two_of_a_zone_by_permit_are_found_and_one_after_another_or_by_force_are_not() {
+        let out = r#"{"t":100,"kind":"standby","permit":5}
+{"t":900,"kind":"active","number":1}"#;
+        let found = |of: &str, other: &str, notes: &Notes| rules(notes, "", &[("d0", out), (of, other)]);
+        let during = r#"{"t":500,"kind":"standby","permit":7}"#;
+        assert_eq!(found("d3", during, &Notes::default()), [RULES[0]]);
+        assert!(found("d1", during, &Notes::default()).is_empty(), "another zone, and two in all");
+        assert!(found("d3", &during.replace("500", "901"), &Notes::default()).is_empty());
+        assert!(found("d3", &during.replace('7', "null"), &Notes::default()).is_empty());
+        let killed = Notes { killed: vec![(0, 400, 2_000)], ..Notes::default() };
+        assert!(found("d3", during, &killed).is_empty(), "out, but not by plan any more");
+    }
+
+    #[test]
+    fn a_permit_beside_known_losses_is_found() {
+        let granted = format!(r#"{{"t":{},"kind":"applied","index":9,"digest":1,"permits":[4]}}"#, 2 * KNOWN);
+        let lost = |from: u64| Notes {
+            killed: vec![(1, from, 3 * KNOWN), (2, from, 3 * KNOWN)],
+            ..Notes::default()
+        };
+        assert_eq!(rules(&lost(10), &granted, &[]), [RULES[1]]);
+        assert!(rules(&lost(2 * KNOWN - 10), &granted, &[]).is_empty(), "nobody could know yet");
+    }
+
+    /// Every call without an answer was excused once, since the schedule was over when it was checked.
+    #[test]
+    fn a_call_that_is_not_answered_or_late_is_found() {
+        let calls = |status: u16, took: u64, at: u64| Notes {
+            calls: vec![(0, at, at + took, status)],
+            stopped: vec![(0, 10_000_000, 11_000_000)],
+            over: Some(90_000_000),
+            ..Notes::default()
+        };
+        assert!(rules(&calls(503, 900_000, 1_000_000), "", &[]).is_empty());
+        assert_eq!(rules(&calls(0, 900_000, 1_000_000), "", &[]), [RULES[2]]);
+        assert_eq!(rules(&calls(503, DECIDED + 1, 1_000_000), "", &[]), [RULES[2]]);
+        assert!(rules(&calls(0, 900_000, 10_500_000), "", &[]).is_empty(), "it was stopped");
+        assert!(rules(&calls(0, 900_000, 89_900_000), "", &[]).is_empty(), "all was ended");
+    }
+}
--- a/crates/cairncrank-release/src/account.rs
+++ b/crates/cairncrank-release/src/account.rs
@@ -1,6 +1,6 @@
 //! The account: who is there and in, which permits are asked for, granted and begun.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -9,8 +9,7 @@
 /// Bounds: targets, permits that are open, budgets, bytes of a name or a reason.
 pub const LIMITS: (usize, usize, usize, usize) = (4_096, 1_024, 64, 256);
 
-/// A permit's number: the position of the entry that asked for it, so it only grows. It is also the token of the step:
-/// a target takes no step with a lower one than it has seen.
+/// A permit's number: the position of the entry that asked for it, so it only grows.
 pub type PermitId = u64;
 
 /// How a target was seen.
@@ -205,15 +204,6 @@
     pub last: String,
 }
 
-/// A target that may be out, and by whom. What [`Account::granted`] lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Granted<'a> {
-    /// The permit.
-    pub id: PermitId,
-    /// What it says.
-    pub permit: &'a Permit,
-}
-
 /// A sum over the targets that a budget covers, in thousandths of a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Sum {
@@ -225,6 +215,15 @@
     pub unplanned: u64,
 }
 
+/// How urgently an observation is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wants {
+    /// At once.
+    Now,
+    /// Now and then.
+    Seldom,
+}
+
 /// A flaw put in on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Flaw {
@@ -273,6 +272,26 @@
     incarnation: u64,
 }
 
+impl Seen {
+    /// How much of it is out by a permit, where it has one that was granted, and how much without one.
+    fn weight(&self, planned: bool) -> (u64, u64) {
+        match self.condition {
+            _ if planned => (1_000, 0),
+            Condition::In => (0, 0),
+            Condition::Out => (0, 1_000),
+            Condition::Warming(part) => (0, 1_000 - u64::from(part.min(1_000))),
+        }
+    }
+}
+
+fn long(text: &str) -> bool {
+    text.len() > LIMITS.3
+}
+
+fn too_long() -> Refusal {
+    Refusal::Full(format!("a text is longer than {} bytes", LIMITS.3))
+}
+
 impl Account {
     /// The same with a flaw, in builds for tests.
     #[must_use]
@@ -294,9 +313,13 @@
     }
 
     /// Permits that are granted or begun.
-    pub fn granted(&self) -> impl Iterator<Item = Granted<'_>> {
-        let open = self.permits.iter().filter(|(_, permit)| permit.state != State::Waiting);
-        open.map(|(id, permit)| Granted { id: *id, permit })
+    pub fn granted(&self) -> impl Iterator<Item = &Permit> {
+        self.permits.values().filter(|permit| permit.state != State::Waiting)
+    }
+
+    /// The targets of these.
+    fn planned(&self) -> BTreeSet<&Target> {
+        self.granted().map(|permit| &permit.target).collect()
     }
 
     /// Permits granted beyond the budgets.
@@ -304,11 +327,6 @@
         &self.forced
     }
 
-    /// How a target was seen last, and as which process.
-    pub fn condition(&self, target: &Target) -> Option<(Condition, u64)> {
-        self.targets.get(target).map(|seen| (seen.condition, seen.incarnation))
-    }
-
     /// All targets, as they were seen last.
     pub fn targets(&self) -> impl Iterator<Item = Observed> + '_ {
         self.targets.iter().map(|(target, seen)| Observed {
@@ -320,9 +338,14 @@
         })
     }
 
-    /// Whether somebody should look again: something waits for an observation.
-    pub fn waits(&self) -> bool {
-        !self.permits.is_empty()
+    /// Whether an observation is wanted though nothing has changed: at once, where a permit waits for its turn or for the
+    /// proof that ends it, and now and then where one is open.
+    pub fn waits(&self) -> Option<Wants> {
+        let now = |permit: &Permit| permit.state == State::Waiting || permit.done.is_some();
+        match self.permits.values().any(now) {
+            true => Some(Wants::Now),
+            false => (!self.permits.is_empty()).then_some(Wants::Seldom),
+        }
     }
 
     /// Applies the change at this position of the log.
@@ -367,6 +390,9 @@
         if budgets.len() > LIMITS.2 {
             return Outcome::Refused(Refusal::Full(format!("more than {} budgets", LIMITS.2)));
         }
+        if budgets.iter().any(|budget| long(&budget.name)) {
+            return Outcome::Refused(too_long());
+        }
         if let Some((budget, fault)) = budgets.iter().find_map(|b| Some((b, b.check().err()?))) {
             return Outcome::Refused(Refusal::Budget(budget.name.clone(), fault.to_string()));
         }
@@ -390,8 +416,8 @@
         if self.permits.len() >= LIMITS.1 {
             return Outcome::Refused(Refusal::Full(format!("{} permits are open", LIMITS.1)));
         }
-        if [reason, asker, &target.name].iter().any(|text| text.len() > LIMITS.3) {
-            return Outcome::Refused(Refusal::Full(format!("a text is longer than {} bytes", LIMITS.3)));
+        if [reason, asker, &target.name].iter().any(|text| long(text)) {
+            return Outcome::Refused(too_long());
         }
         let state = if force { State::Granted } else { State::Waiting };
         if force {
@@ -438,9 +464,13 @@
         if token < self.observer {
             return Outcome::Refused(Refusal::OldTerm { newest: self.observer });
         }
-        if self.targets.len() + targets.len() > LIMITS.0 {
+        let new = targets.iter().filter(|one| !self.targets.contains_key(&one.target)).count();
+        if self.targets.len() + new > LIMITS.0 {
             return Outcome::Refused(Refusal::Full(format!("more than {} targets", LIMITS.0)));
         }
+        if targets.iter().any(|one| [&one.target.name, &one.zone, &one.pool].iter().any(|text| long(text))) {
+            return Outcome::Refused(too_long());
+        }
         self.observer = token;
         for target in gone {
             // One that vanished while it is out goes on counting where it was.
@@ -514,7 +544,7 @@
             }
             let Some(target) = self.permits.get(&id).map(|permit| permit.target.clone()) else { continue };
             // One step at a time at a target; and what is not there cannot be taken out.
-            let busy = self.granted().any(|other| other.permit.target == target);
+            let busy = self.granted().any(|other| other.target == target);
             let Some(incarnation) = self.targets.get(&target).map(|seen| seen.incarnation) else { continue };
             if busy || !self.fits(&target, true) {
                 continue;
@@ -527,34 +557,32 @@
         granted
     }
 
-    /// Whether all budgets that cover a target allow what is out, with it or as it is.
+    /// Whether a target is known and all budgets that cover it allow what is out, with it or as it is.
     fn fits(&self, target: &Target, and_out: bool) -> bool {
-        let Some(seen) = self.targets.get(target) else { return false };
-        self.budgets.iter().filter(|budget| budget.kind == target.kind).all(|budget| {
-            let Some(sum) = self.sum_around(budget, &seen.zone, &seen.pool) else { return true };
-            let more = match and_out {
-                true => 1_000 - self.weight(target, seen).0.max(self.weight(target, seen).1),
-                false => 0,
-            };
-            let losses = if self.flaw == Some(Flaw::PlannedOnly) { 0 } else { sum.unplanned };
-            budget.allows(sum.by_plan + losses + more, sum.targets)
-        })
+        self.targets.contains_key(target) && self.exceeded(target, and_out).is_none()
     }
 
-    /// How much of a target is out by a permit, and without one.
-    fn weight(&self, target: &Target, seen: &Seen) -> (u64, u64) {
-        if self.granted().any(|granted| granted.permit.target == *target) {
-            return (1_000, 0);
-        }
-        match seen.condition {
-            Condition::In => (0, 0),
-            Condition::Out => (0, 1_000),
-            Condition::Warming(part) => (0, 1_000 - u64::from(part.min(1_000))),
-        }
+    /// The first budget that covers a target and does not allow what is out, with it or as it is.
+    fn exceeded(&self, target: &Target, and_out: bool) -> Option<&Budget> {
+        let seen = self.targets.get(target)?;
+        let planned = self.planned();
+        let (by_plan, unplanned) = seen.weight(planned.contains(target));
+        let more = if and_out { 1_000 - by_plan - unplanned } else { 0 };
+        self.budgets.iter().filter(|budget| budget.kind == target.kind).find(|budget| {
+            let Some(sum) = self.sum_around(budget, &seen.zone, &seen.pool, &planned) else { return false };
+            let losses = if self.flaw == Some(Flaw::PlannedOnly) { 0 } else { sum.unplanned };
+            !budget.allows(sum.by_plan + losses + more, sum.targets)
+        })
     }
 
     /// The sum over what a budget covers together with a target of this zone and pool; none where it does not cover it.
-    fn sum_around(&self, budget: &Budget, zone: &str, pool: &str) -> Option<Sum> {
+    fn sum_around(
+        &self,
+        budget: &Budget,
+        zone: &str,
+        pool: &str,
+        planned: &BTreeSet<&Target>,
+    ) -> Option<Sum> {
         let with = |seen: &Seen| match &budget.cover {
             Cover::Fleet => true,
             Cover::EachZone => seen.zone == zone,
@@ -570,7 +598,7 @@
         covers.then(|| {
             let all = self.targets.iter().filter(|(target, seen)| target.kind == budget.kind && with(seen));
             all.fold(Sum::default(), |sum, (target, seen)| {
-                let (by_plan, unplanned) = self.weight(target, seen);
+                let (by_plan, unplanned) = seen.weight(planned.contains(target));
                 Sum {
                     targets: sum.targets + 1,
                     by_plan: sum.by_plan + by_plan,
@@ -582,7 +610,7 @@
 
     /// What each budget has to do with, for whoever looks: the zone or pool where it counts by these, and the sum.
     pub fn sums(&self) -> Vec<(&Budget, String, Sum)> {
-        let mut sums = Vec::new();
+        let (mut sums, planned) = (Vec::new(), self.planned());
         for budget in &self.budgets {
             let of_kind = self.targets.iter().filter(|(target, _)| target.kind == budget.kind);
             let mut places: Vec<(String, &Seen)> = of_kind
@@ -595,7 +623,7 @@
             places.sort_by(|one, other| one.0.cmp(&other.0));
             places.dedup_by(|one, other| one.0 == other.0);
             for (place, seen) in places {
-                if let Some(sum) = self.sum_around(budget, &seen.zone, &seen.pool) {
+                if let Some(sum) = self.sum_around(budget, &seen.zone, &seen.pool, &planned) {
                     sums.push((budget, place, sum));
                 }
             }
@@ -606,10 +634,6 @@
     /// Why a waiting permit is not granted, as far as budgets go: the first that does not allow it.
     pub fn held_by(&self, id: PermitId) -> Option<&Budget> {
         let permit = self.permits.get(&id).filter(|permit| permit.state == State::Waiting)?;
-        let seen = self.targets.get(&permit.target)?;
-        self.budgets.iter().filter(|budget| budget.kind == permit.target.kind).find(|budget| {
-            self.sum_around(budget, &seen.zone, &seen.pool)
-                .is_some_and(|sum| !budget.allows(sum.by_plan + sum.unplanned + 1_000, sum.targets))
-        })
+        self.exceeded(&permit.target, true)
     }
 }
--- a/crates/cairncrank-release/src/lib.rs
+++ b/crates/cairncrank-release/src/lib.rs
@@ -25,8 +25,8 @@
 pub mod judge;
 
 pub use account::{
-    Account, Change, Condition, Flaw, Forced, Granted, Observed, Outcome, Permit, PermitId, Refusal, State,
-    Sum, LIMITS,
+    Account, Change, Condition, Flaw, Forced, Observed, Outcome, Permit, PermitId, Refusal, State, Sum,
+    Wants, LIMITS,
 };
 pub use budget::{Amount, Budget, BudgetFault, Cover};
 
--- a/crates/cairncrank-release/tests/account.rs
+++ b/crates/cairncrank-release/tests/account.rs
@@ -188,6 +188,21 @@
     assert_eq!(fleet.account.sums()[0].2.by_plan, 1_000);
 }
 
+/// A large fleet may change all at once: those that are known count once.
+#[test]
+fn bounds_are_on_what_is_new_and_on_texts() {
+    let mut fleet = Fleet::new(3_000, vec![budget(Cover::Fleet, Amount::Count(1))]);
+    fleet.observe();
+    fleet.conditions.fill((Condition::Out, 1));
+    fleet.observe();
+    fleet.conditions.resize(4_097, (Condition::In, 1));
+    let full = Change::Observe { token: 1, seen: fleet.index, targets: fleet.targets(), gone: vec![] };
+    assert!(matches!(fleet.apply(full), Outcome::Refused(Refusal::Full(_))));
+    let long = Observed { zone: "z".repeat(300), ..fleet.targets().remove(0) };
+    let long = Change::Observe { token: 1, seen: fleet.index, targets: vec![long], gone: vec![] };
+    assert!(matches!(fleet.apply(long), Outcome::Refused(Refusal::Full(_))));
+}
+
 #[test]
 fn operators_that_saw_an_older_version_are_told_so() {
     let mut fleet = Fleet::new(3, vec![budget(Cover::Fleet, Amount::Count(1))]);
--- a/crates/cairncrank-release/tests/model.rs
+++ b/crates/cairncrank-release/tests/model.rs
@@ -242,7 +242,7 @@
                             let planned = world.account.granted().count();
                             for id in granted {
                                 let by_plan =
-                                    |n: usize| world.account.granted().any(|g| g.permit.target == target(n));
+                                    |n: usize| world.account.granted().any(|g| g.target == target(n));
                                 let lost = |(n, p): &(usize, &Process)| {
                                     p.lost.is_some_and(|at| at < id) && !by_plan(*n)
                                 };
--- a/crates/cairncrank/src/net/leave.rs
+++ b/crates/cairncrank/src/net/leave.rs
@@ -14,8 +14,8 @@
 use cairncrank_fleet::member::Member;
 use cairncrank_fleet::wire::{Answer, Ask, Who};
 use cairncrank_release::census::{Census, Listed, Standing, Warmth, ACCOUNT};
-use cairncrank_release::{Account, Change, Kind, Observed, Outcome, Refusal, State, Target};
-use tokio::sync::watch;
+use cairncrank_release::{Account, Change, Kind, Observed, Outcome, Refusal, State, Target, Wants};
+use tokio::sync::{watch, Mutex};
 use tokio::time::{interval, Instant, MissedTickBehavior};
 
 use super::console::{FleetMetrics, Mode};
@@ -23,7 +23,7 @@
 
 /// How often all are asked how they are.
 const ROUND: Duration = Duration::from_millis(200);
-/// How often the account is looked at while nothing waits, in rounds.
+/// How often the account is told that nothing changed while a permit is open and nothing waits, in rounds.
 const SELDOM: u32 = 5;
 /// The most time that a standby takes to be granted or refused.
 const DECIDED: Duration = Duration::from_millis(800);
@@ -65,7 +65,7 @@
     returns: Cell<u64>,
     term: RefCell<Option<Term>>,
     /// One standby is decided on at a time.
-    deciding: Cell<bool>,
+    deciding: Mutex<()>,
     workers: RefCell<Option<Workers>>,
     warmth: RefCell<Warmth>,
 }
@@ -88,7 +88,7 @@
         metrics: FleetMetrics,
         warmth: Warmth,
     ) -> Leave {
-        let (returns, term, deciding) = (Cell::default(), RefCell::default(), Cell::default());
+        let (returns, term, deciding) = (Cell::default(), RefCell::default(), Mutex::default());
         let (workers, warmth) = (RefCell::default(), RefCell::new(warmth));
         Leave { holds, member, own, metrics, returns, term, deciding, workers, warmth }
     }
@@ -134,11 +134,10 @@
         if *self.own.mode.borrow() == Mode::Standby {
             return Ok(());
         }
-        if self.deciding.replace(true) {
+        let Ok(_one) = self.deciding.try_lock() else {
             return denied("another call for standby is being decided on", AGAIN.0);
-        }
+        };
         let decided = self.decide(reason, force).await;
-        self.deciding.set(false);
         match &decided {
             Ok(()) => tracing::info!(reason, force, "standby: no new work is invited"),
             Err(denied) => {
@@ -237,10 +236,12 @@
                 _ => continue,
             }
             let Some((token, targets, gone)) = self.look(&account) else { continue };
-            if targets.is_empty()
-                && gone.is_empty()
-                && !(account.waits() && count % SELDOM == 0 || waiting(&account))
-            {
+            let wanted = match account.waits() {
+                Some(Wants::Now) => true,
+                Some(Wants::Seldom) => count % SELDOM == 0,
+                None => false,
+            };
+            if targets.is_empty() && gone.is_empty() && !wanted {
                 continue;
             }
             // The look at the lease comes right before the word; the keepers look at the token besides.
@@ -304,8 +305,3 @@
         Some((term.token, seen, gone))
     }
 }
-
-/// Whether somebody waits for a permit, or for the proof that ends one.
-fn waiting(account: &Account) -> bool {
-    account.permits().values().any(|permit| permit.state == State::Waiting || permit.done.is_some())
-}
