Take lists whatever their layout: an indented one was cut into lines, and none was taken

Ruled out as the cause of these: pauses between watches and silence, since watches were answered at once and ended by this program itself. At fault: Watch::take in net/discovery.rs, which cut the stream with http::Lines and parsed each line as a list. Change: net/values.rs cuts the stream into JSON values by their brackets, each byte looked at once, bounded; empty lines stay the sign of life.

--- a/crates/cairncrank/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -16,7 +16,8 @@
 use tokio::time::timeout;
 
 use super::fleet::Lists;
-use super::http::{Decoder, Head, Lines, Piece, Start};
+use super::http::{Decoder, Head, Piece, Start};
+use super::values::{Token, Values};
 use super::{read_more, waiting, write_whole, Configs};
 use crate::config::{self, Config, Names};
 use crate::engine::{micros, Handle, Input, Listed, Micros};
@@ -35,8 +36,8 @@
 /// multiples of that span. Of the longest, four spans, the rules say how long a dispatcher may go without asking after
 /// a failure.
 const SPANS: (f64, f64) = (1.5, 4.0);
-/// The longest line: a whole list of some thousands of workers.
-const LONGEST_LINE: usize = 4 * 1024 * 1024;
+/// The longest list: some thousands of workers.
+const LONGEST_LIST: usize = 4 * 1024 * 1024;
 /// What has come of a watch by its end is read within this.
 const LAST_READ: Duration = Duration::from_millis(20);
 
@@ -305,17 +306,19 @@
             let end = match piece {
                 Piece::More => return Ok(()),
                 Piece::Data(data) => {
-                    talk.lines.add(data, LONGEST_LINE).map_err(|error| error.to_string())?;
+                    talk.values.add(&data, LONGEST_LIST).map_err(|error| error.to_string())?;
                     None
                 }
-                // A whole list need not end with the end of a line.
-                Piece::End => Some(talk.lines.rest()),
+                Piece::End => Some(talk.values.rest()),
             };
-            while let Some(line) = talk.lines.next_line() {
-                self.take_line(&line, ready)?;
+            while let Some(token) = talk.values.next_token() {
+                self.take_token(token, ready)?;
             }
             if let Some(rest) = end {
-                self.take_line(&rest, ready)?;
+                if !rest.is_empty() {
+                    // A value without its end, which the parser tells.
+                    self.take_token(Token::Value(rest), ready)?;
+                }
                 talk.done = true;
                 if !talk.keep_alive || talk.is_watch {
                     return Err("the watch ended".to_owned());
@@ -325,10 +328,10 @@
         Ok(())
     }
 
-    /// Takes one line; an empty one says that nothing changed.
-    fn take_line(&self, line: &Bytes, ready: &watch::Sender<bool>) -> Result<(), String> {
-        if !line.trim_ascii().is_empty() {
-            let list = serde_json::from_slice::<Value>(line).map_err(|error| error.to_string());
+    /// Takes a list; an empty line says that nothing changed.
+    fn take_token(&self, token: Token, ready: &watch::Sender<bool>) -> Result<(), String> {
+        if let Token::Value(text) = &token {
+            let list = serde_json::from_slice::<Value>(text).map_err(|error| error.to_string());
             let list = list.and_then(|value| {
                 config::list(&value, &self.config.names).map_err(|error| error.to_string())
             });
@@ -336,7 +339,7 @@
                 Ok(mut list) => {
                     self.told.note(list.revision, &mut list.members);
                     if let Some(lists) = &self.lists {
-                        lists.said(serde_json::from_slice(line).ok().as_ref());
+                        lists.said(serde_json::from_slice(text).ok().as_ref());
                     }
                     self.handle.tell(Input::List(list.scope, list.members));
                 }
@@ -360,7 +363,7 @@
     host: SocketAddr,
     buf: BytesMut,
     body: Option<Decoder>,
-    lines: Lines,
+    values: Values,
     keep_alive: bool,
     is_watch: bool,
     answered: bool,
@@ -377,13 +380,13 @@
             Err(_) => return Err("no connection in time".to_owned()),
         };
         let _ = stream.set_nodelay(true);
-        let (buf, lines) = (BytesMut::new(), Lines::default());
+        let (buf, values) = (BytesMut::new(), Values::default());
         Ok(Talk {
             stream,
             host,
             buf,
             body: None,
-            lines,
+            values,
             keep_alive: false,
             is_watch: false,
             answered: false,
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod leave;
 mod probe;
 pub mod signal;
+pub mod values;
 mod watchers;
 pub mod worker;
 
--- a/crates/cairncrank/tests/scenario/mod.rs
+++ b/crates/cairncrank/tests/scenario/mod.rs
@@ -9,6 +9,7 @@
 //! | `PARTY send ok`, `line JSON`, `end` | a chunked 200, one line of it, its last chunk |
 //! | `PARTY send done ID RESULT` | the three of these: a whole answer |
 //! | `PARTY send whole REVISION whole [N=PHASE]...` | the whole list, as one message |
+//! | `PARTY send indented REVISION whole|changes [N=PHASE]...` | the same, laid out over many lines |
 //! | `PARTY send list REVISION whole|changes [N=PHASE]...` | a line of discovery on these workers |
 //! | `PARTY expect` | one whole message, noted in the transcript |
 //! | `PARTY expect close` | the end of the connection, with nothing before it |
@@ -284,6 +285,9 @@
                 format!("{ok}{}0\r\n\r\n", chunk(&line)).into_bytes()
             }
             "list" => chunk(&self.list(rest).to_string()).into_bytes(),
+            "indented" => {
+                chunk(&serde_json::to_string_pretty(&self.list(rest)).expect("a list")).into_bytes()
+            }
             other => panic!("nobody can send '{other}'"),
         }
     }
