Call discovery again within 4 s of the last that may be missed, and an agent at once

Checked: a scratch build that prints each call, pause, list and send. Dispatchers sat in pauses of 7 to 11 s after a watch was reset; at a start they made two calls each, and were reset and turned away for it. Ruled out: the queue between network and engine, and silent watches, which are given up after 2.8 s, in time. At fault: SPANS and PAUSE in net/discovery.rs, and the filter there that took a known list of revision 0 for none. Change: news.rs in the core bounds each pause by the time since when nothing may have been heard; a list of revision 0 is gone on from; a silent agent gets a second watch beside the first; silence counts from the last whole value.

--- a/crates/cairncrank-core/src/lib.rs
+++ b/crates/cairncrank-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod estimate;
 mod health;
 mod load;
+pub mod news;
 pub mod policy;
 pub mod report;
 mod room;
--- /dev/null
+++ b/crates/cairncrank-core/src/news.rs
@@ -0,0 +1,54 @@
+//! When discovery is called again after a watch or a call has ended. Pure: no clock, no I/O.
+//!
+//! A change counts as told a fixed time after discovery had it and could be reached, whatever a call before did, and
+//! soon after that nothing may be sent to a worker that drains. So what bounds a pause is since when nothing may have
+//! been heard, not how often calls failed: a call that was given up late leaves less time before the next.
+
+use crate::api::Settings;
+use crate::backoff::{Backoff, Micros};
+
+/// A change counts as told this long after discovery had it and could be reached.
+pub const TOLD_WITHIN: Micros = 6_000_000;
+/// Of that, what a call may take to be answered: it waits its turn for up to 2 s where discovery is one service for all.
+const ANSWERED_WITHIN: Micros = 2_000_000;
+
+/// An agent on this machine costs nothing to ask, and what it has counts as told at once: first and longest pause, in
+/// parts of the time for which a worker that drains may still get work.
+const AGENT: (Micros, Micros) = (25, 5);
+/// Where discovery is one service for all, what breaks one watch breaks all, and a call that is turned away costs it as
+/// much as one that is answered. So the first calls are spread over so much for each dispatcher, between these; the
+/// later ones, wider and wider, up to the time that is left.
+const SPREAD: Micros = 10_000;
+const FIRST: (Micros, Micros) = (500_000, 2_000_000);
+
+/// The pauses between calls.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    backoff: Backoff,
+    latest: Micros,
+}
+
+impl Calls {
+    /// As the settings tell; `grace` is for how long a worker that drains may still get work. The seed should differ
+    /// between dispatchers.
+    pub fn new(settings: &Settings, grace: Micros, seed: u64) -> Calls {
+        let latest = TOLD_WITHIN - ANSWERED_WITHIN;
+        let (first, longest) = if settings.ask_for_list {
+            ((SPREAD * Micros::from(settings.instances)).clamp(FIRST.0, FIRST.1), latest)
+        } else {
+            (grace / AGENT.0, grace / AGENT.1)
+        };
+        Calls { backoff: Backoff::new(first, longest, seed), latest }
+    }
+
+    /// A call was answered.
+    pub fn answered(&mut self) {
+        self.backoff.succeeded();
+    }
+
+    /// The pause before the next call, where nothing may have been heard for so long already. `wanted` is what
+    /// discovery asked for; it is heeded as far as the time within which a change counts as told allows.
+    pub fn pause(&mut self, deaf: Micros, wanted: Option<Micros>) -> Micros {
+        self.backoff.failed(wanted).min(self.latest.saturating_sub(deaf))
+    }
+}
--- /dev/null
+++ b/crates/cairncrank-core/tests/news.rs
@@ -0,0 +1,72 @@
+//! Discovery is called again early enough for what changes to be known when it counts as told.
+
+use cairncrank_core::backoff::Micros;
+use cairncrank_core::news::{Calls, TOLD_WITHIN};
+use cairncrank_core::Settings;
+
+const GRACE: Micros = 500_000;
+
+fn settings(instances: u32, ask_for_list: bool) -> Settings {
+    Settings { instances, ask_for_list, ask_within: 10.0, ..Settings::default() }
+}
+
+/// Whatever a call cost and however many failed before: from the moment since when nothing may have been heard, the
+/// next call begins so early that its answer, which may take 2 s, is there in time.
+#[test]
+fn the_next_call_fits_into_the_time_within_which_a_change_counts_as_told() {
+    for instances in [1, 6, 30, 300] {
+        for seed in 0..50 {
+            let mut calls = Calls::new(&settings(instances, true), GRACE, seed);
+            for failure in 0..20 {
+                let deaf = [0, 500_000, 2_800_000, 5_000_000][failure % 4];
+                let wanted = [None, Some(30_000_000)][failure / 4 % 2];
+                let pause = calls.pause(deaf, wanted);
+                let left = (TOLD_WITHIN - 2_000_000).saturating_sub(deaf);
+                assert!(pause <= left, "{pause} after {deaf}");
+            }
+        }
+    }
+}
+
+/// What an agent has counts as told at once, so the time that a worker may still get work after it drains is all
+/// there is.
+#[test]
+fn an_agent_is_asked_again_within_a_fraction_of_the_grace() {
+    for seed in 0..50 {
+        let mut calls = Calls::new(&settings(300, false), GRACE, seed);
+        assert!((0..20).all(|_| calls.pause(0, None) <= 100_000));
+    }
+}
+
+/// How many of these dispatchers, whose watches ended at one moment, are answered within so long by a service as it was
+/// measured: it takes so much for a call, also for one that is turned away since it would wait for 2 s.
+fn answered(instances: u32, call: Micros, within: Micros, pause: impl Fn(&mut Calls) -> Micros) -> usize {
+    let set = settings(instances, true);
+    let mut herd: Vec<(Micros, Calls)> = (0..instances)
+        .map(|seed| Calls::new(&set, GRACE, seed.into()))
+        .map(|mut calls| (pause(&mut calls), calls))
+        .collect();
+    let mut free_at = 0;
+    while let Some(next) = (0..herd.len()).min_by_key(|n| herd[*n].0).filter(|n| herd[*n].0 < within) {
+        let now = herd[next].0;
+        let wait = free_at.max(now) - now;
+        free_at = now + (wait + call).min(2_500_000);
+        if wait < 2_000_000 {
+            herd.swap_remove(next);
+        } else {
+            herd[next].0 = now + 1 + pause(&mut herd[next].1);
+        }
+    }
+    instances as usize - herd.len()
+}
+
+/// A herd is spread, the larger the wider, and thins out; one that asks every 0.1 s keeps the service from answering
+/// anybody once its queue is full.
+#[test]
+fn a_herd_thins_out_until_all_are_answered() {
+    for (instances, call) in [(6, 227_000), (6, 333_000), (32, 60_000), (300, 12_000)] {
+        assert_eq!(answered(instances, call, 12_000_000, |calls| calls.pause(0, None)), instances as usize);
+    }
+    let fixed = answered(300, 12_000, 12_000_000, |_| 100_000);
+    assert!(fixed < 200, "{fixed} of 300 with a fixed pause");
+}
--- a/crates/cairncrank/src/config.rs
+++ b/crates/cairncrank/src/config.rs
@@ -28,6 +28,8 @@
 /// An idle connection is used for this part of the time after which a worker may close it: the clocks of both
 /// sides differ, and a request that crosses the close would be lost.
 const KEEPALIVE_USED: f64 = 0.8;
+/// Seconds for which a worker that drains may still get work, where not told.
+const DRAIN_GRACE: f64 = 0.5;
 /// A client's patience in seconds where neither it nor the class tells.
 const PATIENCE: f64 = 10.0;
 
@@ -101,10 +103,14 @@
     pub dial_timeout: Micros,
     /// An idle connection to a worker is dropped after this.
     pub idle: Micros,
+    /// A worker that drains may still get work for so long after that was told.
+    pub drain_grace: Micros,
+    /// Lists are pushed to an agent on this machine: what it has counts as told, from the first moment on.
+    pub pushed: bool,
     /// The longest deadline of a class.
     pub longest: Micros,
-    /// The list as last held, and its revision.
-    pub known: (u64, Vec<Listed>),
+    /// The list as last held, and its revision; none where nothing is known.
+    pub known: (Option<u64>, Vec<Listed>),
     /// The fleet that this dispatcher is a member of, if our own settings name one.
     pub fleet: Option<Fleet>,
 }
@@ -227,9 +233,9 @@
         };
         let client_sockets = (sockets - SOCKETS_KEPT) * CLIENT_SOCKETS / 100;
         let known = match &root["known"] {
-            Value::Null => (0, Vec::new()),
+            Value::Null => (None, Vec::new()),
             known => match list(known, &names) {
-                Ok(list) => (list.revision, list.members),
+                Ok(list) => (Some(list.revision), list.members),
                 Err(error) => return wrong(&format!("known.{}", error.key), error.problem),
             },
         };
@@ -248,6 +254,8 @@
             settings: module,
             dial_timeout: micros(pairs.size("caps.dial-timeout-s", DIAL_TIMEOUT)?.max(0.001)),
             idle: micros(keepalive * KEEPALIVE_USED),
+            drain_grace: micros(pairs.size("obligations.drain-grace-s", DRAIN_GRACE)?),
+            pushed: pairs.word("discovery") == "push",
             longest: names.classes.iter().map(|c| c.patience).max().unwrap_or(micros(PATIENCE)),
             names,
             known,
--- a/crates/cairncrank/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -2,7 +2,9 @@
 //! and elsewhere once the configuration names another address.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +14,8 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::task::{spawn_local, AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::fleet::Lists;
 use super::http::{Decoder, Head, Piece, Start};
@@ -22,20 +24,18 @@
 use crate::config::{self, Config, Names};
 use crate::engine::{micros, Handle, Input, Listed, Micros};
 use cairncrank_core::api::{Seconds, WorkerId, WorkerState};
-use cairncrank_core::backoff::Backoff;
+use cairncrank_core::news::Calls;
 
 /// An empty line comes every 2 s; a watch that is silent for longer is dead, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2800);
 /// The agent is on this machine: it takes a connection at once or not at all.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The pauses between two watches, at the first failure and at the most, where discovery is this machine's own matter.
-const PAUSE: (Seconds, Seconds) = (0.1, 2.0);
-/// Where discovery is one service for all dispatchers, it must bear that each of them asks once within the span that
-/// the settings state, but not much more: what breaks one watch breaks all, each call takes its turn, and one that is
-/// turned away delays the others as much as one that is answered. So the first pause and the longest are these
-/// multiples of that span. Of the longest, four spans, the rules say how long a dispatcher may go without asking after
-/// a failure.
-const SPANS: (f64, f64) = (1.5, 4.0);
+/// An agent answers at once. Where it does not, another watch is opened beside the first, so that one of them was opened
+/// after discovery came back: what the agent gets then counts as told at that moment. This is in hundredths of the time
+/// for which a worker that drains may still get work.
+const BESIDE: Micros = 40;
+/// So many are opened beside each other at the most; the oldest goes first.
+const MOST_BESIDE: usize = 8;
 /// The longest list: some thousands of workers.
 const LONGEST_LIST: usize = 4 * 1024 * 1024;
 /// What has come of a watch by its end is read within this.
@@ -79,9 +79,10 @@
 ) {
     let (known, mut members) = configs.borrow().known.clone();
     let told = Told { revision: Cell::default(), newest: Cell::default(), states: RefCell::default() };
-    told.note(known, &mut members);
-    // Where nothing was held before, all must be asked for.
-    told.revision.set(Some(known).filter(|known| *known > 0));
+    told.note(known.unwrap_or(0), &mut members);
+    // Where nothing was held before, all must be asked for. What was held may well be of revision 0: to ask for all
+    // first would make two calls of one, of every dispatcher of a fleet at its start.
+    told.revision.set(known);
     let told = Rc::new(told);
     let lists = fleet.map(|(lists, news)| {
         spawn_local(hear(lists.clone(), news, told.clone(), configs.clone(), handle.clone(), ready.clone()));
@@ -90,7 +91,8 @@
     // Without a fleet the sender is gone, and it stays at asking.
     let mut asks = lists.as_ref().map_or_else(|| watch::channel(true).1, |lists| lists.asks());
     let mut failing = false;
-    let mut backoff = pauses(&configs.borrow());
+    let calls = |config: &Config| Calls::new(&config.settings, config.drain_grace, config.seed);
+    let mut pauses = calls(&configs.borrow());
     loop {
         if !*asks.borrow() {
             let before = configs.borrow().clone();
@@ -114,11 +116,13 @@
         };
         // A task of its own: a panic ends this watch, not the following.
         let watch = spawn_local(watch.run(configs.clone(), ready.clone(), asks.clone()));
-        let End { why, answered, wanted } = watch.await.unwrap_or_else(|panic| End::from(panic.to_string()));
+        let End { why, answered, wanted, deaf_since } =
+            watch.await.unwrap_or_else(|panic| End::now(panic.to_string()));
         if moved(&config, &configs.borrow()) {
             // Revisions are those of the place that told them: elsewhere the same number may stand for more.
             told.revision.set(None);
             failing = false;
+            pauses = calls(&configs.borrow());
             lists.iter().for_each(|lists| lists.moved(configs.borrow().discovery));
             continue;
         }
@@ -131,9 +135,10 @@
         }
         failing = told.revision.get() == before;
         if answered {
-            backoff.succeeded();
+            pauses.answered();
         }
-        let pause = Duration::from_micros(backoff.failed(wanted));
+        let deaf = deaf_since.elapsed().as_micros() as Micros;
+        let pause = Duration::from_micros(pauses.pause(deaf, wanted));
         let _ = timeout(pause, configs.wait_for(|now| moved(&config, now))).await;
     }
 }
@@ -174,14 +179,6 @@
     }
 }
 
-/// The pauses between watches.
-fn pauses(config: &Config) -> Backoff {
-    let (settings, span) = (&config.settings, config.settings.ask_within);
-    let shared = settings.ask_for_list && span > 0.0;
-    let (first, longest) = if shared { (SPANS.0 * span, SPANS.1 * span) } else { PAUSE };
-    Backoff::new(micros(first), micros(longest), config.seed)
-}
-
 /// What was told under one of them need not hold under the other: it comes of another place, or was read by
 /// other names.
 fn moved(old: &Config, new: &Config) -> bool {
@@ -196,11 +193,13 @@
     answered: bool,
     /// When discovery wants to be asked again.
     wanted: Option<Micros>,
+    /// From when on nothing may have been heard.
+    deaf_since: Instant,
 }
 
-impl From<String> for End {
-    fn from(why: String) -> End {
-        End { why, answered: false, wanted: None }
+impl End {
+    fn now(why: impl Into<String>) -> End {
+        End { why: why.into(), answered: false, wanted: None, deaf_since: Instant::now() }
     }
 }
 
@@ -238,19 +237,22 @@
             }
         };
         tokio::pin!(moves);
+        let begun = Instant::now();
         let mut talk = tokio::select! {
             biased;
-            talk = Talk::open(config.discovery) => match talk {
+            talk = self.begin() => match talk {
                 Ok(talk) => talk,
-                Err(end) => return End::from(end),
+                Err(why) => return End { deaf_since: begun, ..End::now(why) },
             },
-            () = &mut moves => return End::from("moved".to_owned()),
+            () = &mut moves => return End::now("moved"),
         };
         let why = tokio::select! {
             biased;
             () = &mut moves => "moved".to_owned(),
-            why = self.listen(&mut talk, &ready) => {
-                return End { why, answered: talk.answered, wanted: talk.wanted };
+            Ended { why, silent } = self.listen(&mut talk, &ready) => {
+                // A call that was never answered may have begun just before discovery could be reached.
+                let deaf_since = if silent || !talk.answered { talk.heard } else { Instant::now() };
+                return End { why, answered: talk.answered, wanted: talk.wanted, deaf_since };
             }
         };
         // What this place has written counts as told, also what nobody has read so far.
@@ -259,27 +261,66 @@
         };
         let _ = timeout(LAST_READ, rest).await;
         let _ = self.take(&mut talk, &ready);
-        End { why, answered: talk.answered, wanted: None }
+        End { answered: talk.answered, ..End::now(why) }
     }
 
-    async fn listen(&self, talk: &mut Talk, ready: &watch::Sender<bool>) -> String {
+    /// Opens a watch, or asks for the whole list where all must be asked for. An agent has begun to answer then.
+    async fn begin(&self) -> Result<Talk, String> {
+        let (host, query) = (self.config.discovery, self.query());
+        if self.config.settings.ask_for_list {
+            return Talk::open(host, &query).await;
+        }
+        let beside = Duration::from_micros(self.config.drain_grace * BESIDE / 100);
+        let mut tries = JoinSet::new();
+        let mut order = VecDeque::new();
         loop {
-            if talk.done {
-                // The whole list was asked for and is here; the watch goes on after it.
-                let after = self.told.revision.get().map(|revision| format!("?stream=1&index={revision}"));
-                if let Err(error) = talk.ask(&after.unwrap_or_default()).await {
-                    return error;
+            if order.len() == MOST_BESIDE {
+                order.pop_front().iter().for_each(AbortHandle::abort);
+            }
+            let query = query.clone();
+            order.push_back(tries.spawn_local(async move { Talk::answered(host, &query).await }));
+            let mut next = pin!(sleep(beside));
+            loop {
+                tokio::select! {
+                    biased;
+                    tried = tries.join_next() => match tried {
+                        Some(Ok(Ok(talk))) => return Ok(talk),
+                        Some(Ok(Err(why))) if tries.is_empty() => return Err(why),
+                        None => return Err("nothing was tried".to_owned()),
+                        Some(_) => {}
+                    },
+                    () = &mut next => break,
                 }
             }
-            match timeout(SILENCE, read_more(&mut talk.stream, &mut talk.buf)).await {
-                Ok(Ok(true)) => {}
-                Ok(Ok(false)) => return "the connection ended".to_owned(),
-                Ok(Err(error)) => return format!("the connection broke: {error}"),
-                Err(_) => return "the watch fell silent".to_owned(),
+        }
+    }
+
+    /// What is to be asked next: the whole list, or what comes after what is known.
+    fn query(&self) -> String {
+        let after = self.told.revision.get().map(|revision| format!("?stream=1&index={revision}"));
+        after.unwrap_or_default()
+    }
+
+    async fn listen(&self, talk: &mut Talk, ready: &watch::Sender<bool>) -> Ended {
+        loop {
+            if let Err(why) = self.take(talk, ready) {
+                return Ended { why, silent: false };
             }
-            if let Err(end) = self.take(talk, ready) {
-                return end;
+            if talk.done {
+                // The whole list was asked for and is here; the watch goes on after it.
+                if let Err(why) = talk.ask(&self.query()).await {
+                    return Ended { why, silent: false };
+                }
             }
+            // Not counted from the last byte: a list that never comes to its end tells nothing.
+            let dead = talk.heard + SILENCE;
+            let (why, silent) = match timeout_at(dead, read_more(&mut talk.stream, &mut talk.buf)).await {
+                Ok(Ok(true)) => continue,
+                Ok(Ok(false)) => ("the connection ended".to_owned(), false),
+                Ok(Err(error)) => (format!("the connection broke: {error}"), false),
+                Err(_) => ("the watch fell silent".to_owned(), true),
+            };
+            return Ended { why, silent };
         }
     }
 
@@ -312,6 +353,7 @@
                 Piece::End => Some(talk.values.rest()),
             };
             while let Some(token) = talk.values.next_token() {
+                talk.heard = Instant::now();
                 self.take_token(token, ready)?;
             }
             if let Some(rest) = end {
@@ -357,6 +399,13 @@
     }
 }
 
+/// How listening ended.
+struct Ended {
+    why: String,
+    /// The connection stands, and nothing comes.
+    silent: bool,
+}
+
 /// A connection to discovery, and how much of an answer was read.
 struct Talk {
     stream: TcpStream,
@@ -368,35 +417,55 @@
     is_watch: bool,
     answered: bool,
     wanted: Option<Micros>,
+    /// When something whole was heard last, or asked for.
+    heard: Instant,
     /// All of the answer was taken: something is to be asked next.
     done: bool,
 }
 
 impl Talk {
-    async fn open(host: SocketAddr) -> Result<Talk, String> {
+    /// Connects and asks.
+    async fn open(host: SocketAddr, query: &str) -> Result<Talk, String> {
         let stream = match timeout(DIAL_TIMEOUT, TcpStream::connect(host)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(format!("cannot connect: {error}")),
             Err(_) => return Err("no connection in time".to_owned()),
         };
         let _ = stream.set_nodelay(true);
-        let (buf, values) = (BytesMut::new(), Values::default());
-        Ok(Talk {
+        let mut talk = Talk {
             stream,
             host,
-            buf,
+            buf: BytesMut::new(),
             body: None,
-            values,
+            values: Values::default(),
             keep_alive: false,
             is_watch: false,
             answered: false,
             wanted: None,
+            heard: Instant::now(),
             done: true,
-        })
+        };
+        talk.ask(query).await?;
+        Ok(talk)
+    }
+
+    /// Connects, asks and waits until the answer begins.
+    async fn answered(host: SocketAddr, query: &str) -> Result<Talk, String> {
+        let mut talk = Talk::open(host, query).await?;
+        match timeout_at(talk.heard + SILENCE, read_more(&mut talk.stream, &mut talk.buf)).await {
+            Ok(Ok(true)) => {
+                talk.heard = Instant::now();
+                Ok(talk)
+            }
+            Ok(Ok(false)) => Err("the connection ended".to_owned()),
+            Ok(Err(error)) => Err(format!("the connection broke: {error}")),
+            Err(_) => Err("nothing was answered".to_owned()),
+        }
     }
 
     async fn ask(&mut self, query: &str) -> Result<(), String> {
         (self.done, self.is_watch, self.body) = (false, !query.is_empty(), None);
+        self.heard = Instant::now();
         let request = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.host);
         let written = write_whole(&mut self.stream, &mut Bytes::from(request)).await;
         written.map_err(|error| format!("cannot ask: {error}"))
