Look once more just before an attempt is written: who waits, the window for repeats, the list

Seen: by reading, at each await between a decision and its first byte. (1) A keyed repeat was decided within its window and written after it, once its connection came up. (2) Where the settings allow no cancel, an attempt that still dialled was written for a client that had left. (3) A client that leaves behind more than 16 KiB of unread bytes went unnoticed until the deadline. (4) Where lists are pushed, a job that came before discovery was heard went by the list as last held, though the agent's list counts as told. At fault: worker::try_at, which looked only at the list; Connection::answer, which does not read ahead of 16 KiB; Engine::submit. Change: Payload::concluded, set wherever a request is concluded, and a latest moment for repeats, both looked at just before the first byte; READ_CLOSED is looked for while nothing is read ahead; the engine holds what comes before the first pushed list, for 1 s at the most. Class::repeat_within is one rule for the module and the engine; policy loses two lines.

--- a/crates/cairncrank-core/src/api.rs
+++ b/crates/cairncrank-core/src/api.rs
@@ -56,6 +56,20 @@
     pub kind: Option<u32>,
 }
 
+/// A keyed job is sent again within this part of its window: the clocks of worker and dispatcher may differ.
+const KEYED_WINDOW: f64 = 0.9;
+
+impl Class {
+    /// For how long after a send that may have run a job of it may be sent again.
+    pub fn repeat_within(&self) -> Seconds {
+        match self.repeat {
+            Repeat::Safe => f64::INFINITY,
+            Repeat::Keyed(_) => self.window * KEYED_WINDOW,
+            Repeat::Unsafe => 0.0,
+        }
+    }
+}
+
 impl Default for Class {
     fn default() -> Self {
         Class { repeat: Repeat::Unsafe, window: 0.0, aim: 1.0, stretch: 0.0, late_worth: 0.0, kind: None }
--- a/crates/cairncrank-core/src/policy/attempts.rs
+++ b/crates/cairncrank-core/src/policy/attempts.rs
@@ -12,8 +12,6 @@
 pub(super) const TRIED: usize = 3;
 /// A worker that turned a job away holds about this many times its slots.
 const FULL_AT: f64 = 1.5;
-/// A keyed job is sent again within this part of its window: the clocks of worker and dispatcher may differ.
-const KEYED_WINDOW: f64 = 0.9;
 
 impl Dispatcher {
     /// Whether a keyed job that may have run may go to this worker.
@@ -22,7 +20,7 @@
         let Repeat::Keyed(group) = class.repeat else { return true };
         job.attempts.iter().filter(|a| !a.ended.is_some_and(Outcome::never_ran)).all(|a| {
             let first = &self.fleet.workers[a.worker];
-            self.now - a.sent < class.window * KEYED_WINDOW
+            self.now - a.sent < class.repeat_within()
                 && match group {
                     Group::All => true,
                     Group::Zone => w.zone == first.zone,
--- a/crates/cairncrank/src/engine.rs
+++ b/crates/cairncrank/src/engine.rs
@@ -80,6 +80,8 @@
     pub body: Bytes,
     /// The name of its class, for the figures.
     pub class: Rc<str>,
+    /// It is answered, or nobody waits for an answer: no attempt is to begin any more. Looked at when one is written.
+    pub concluded: Cell<bool>,
 }
 
 /// A job as it came in.
@@ -191,6 +193,8 @@
         payload: Rc<Payload>,
         /// When the dispatcher stops waiting.
         deadline: Micros,
+        /// Not to be written after this, since an attempt before it may have run: a connection may come up late.
+        latest: Micros,
     },
     /// Give an attempt up.
     Cancel(RequestId, u32),
@@ -264,10 +268,29 @@
     payload: Rc<Payload>,
     /// Where the answer goes; none once it is concluded.
     answer: Option<oneshot::Sender<Answer>>,
-    /// The attempts so far: whether each is still out.
-    attempts: Vec<bool>,
-    /// The outcomes so far prove that it never ran.
-    never_ran: bool,
+    class: usize,
+    attempts: Vec<Attempt>,
+}
+
+/// An attempt at a request.
+struct Attempt {
+    /// When it was sent on its way.
+    sent: Micros,
+    out: bool,
+    /// No outcome proves that it never ran.
+    may_have_run: bool,
+}
+
+impl Open {
+    /// Takes where the answer goes, once; from then on no attempt begins.
+    fn conclude(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.payload.concluded.set(true);
+        self.answer.take()
+    }
+
+    fn is_out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -276,12 +299,17 @@
     Attempt(RequestId, u32),
     Deadline(RequestId),
     Overdue(RequestId),
+    Unheard,
 }
 
 /// The task that owns the module.
 pub struct Engine {
     dispatcher: Dispatcher,
     max_attempts: usize,
+    /// For each class, how long after an attempt that may have run another may be written.
+    repeat_within: Vec<Micros>,
+    /// What came before discovery was heard, where it is to be heard first.
+    unheard: Option<Vec<Request>>,
     clock: Clock,
     now: Micros,
     open: FxHashMap<RequestId, Open>,
@@ -314,8 +342,10 @@
     ) -> Engine {
         let max_attempts = settings.max_attempts.max(1) as usize;
         let mut engine = Engine {
+            repeat_within: repeat_within(&settings),
             dispatcher: Dispatcher::new(settings, seed),
             max_attempts,
+            unheard: None,
             clock,
             now: clock.now(),
             open: FxHashMap::default(),
@@ -333,6 +363,13 @@
         engine
     }
 
+    /// Holds what comes until discovery is heard, for so long at the most. Where lists are pushed, what they tell counts
+    /// as told from the first moment of a process, whatever the list as last held says.
+    pub fn hear_first(&mut self, longest: Micros) {
+        self.unheard = Some(Vec::new());
+        self.due.push(Reverse((self.now + longest, Due::Unheard)));
+    }
+
     /// What a usual job asks of a worker, in slots by seconds; kept up to date from now on.
     pub fn usual_job(&mut self) -> Rc<Cell<f64>> {
         let usual = self.usual.get_or_insert_with(Rc::default);
@@ -386,6 +423,7 @@
                     }
                 }
                 Due::Overdue(request) => self.close(request),
+                Due::Unheard => self.heard(),
             }
             self.settle();
         }
@@ -397,7 +435,7 @@
             Input::Gone(id) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     // The module may have answered while the client left.
-                    if open.answer.take().is_some() {
+                    if open.conclude().is_some() {
                         self.tell(Event::ClientGone(id));
                     }
                     self.tidy(id);
@@ -430,9 +468,13 @@
                 // The way to a worker must be known before the module can choose it, and barred before it asks.
                 let _ = self.commands.send(Command::List(scope, members));
                 self.tell(Event::List { scope, members: &lines });
+                if scope != Scope::Saved {
+                    self.heard();
+                }
             }
             Input::Configure(settings) => {
                 self.max_attempts = settings.max_attempts.max(1) as usize;
+                self.repeat_within = repeat_within(&settings);
                 self.tell(Event::Settings(&settings));
             }
             Input::Finish => {
@@ -460,17 +502,31 @@
             deadline,
             payload: Rc::new(job.payload),
             answer: Some(answer),
+            class: job.request.class as usize,
             attempts: Vec::new(),
-            never_ran: true,
         };
         self.open.insert(id, open);
         self.due.push(Reverse((deadline, Due::Deadline(id))));
-        self.tell(Event::Request(Request { id, patience: seconds(job.patience), ..job.request }));
+        let request = Request { id, patience: seconds(job.patience), ..job.request };
+        match &mut self.unheard {
+            Some(held) => held.push(request),
+            None => self.tell(Event::Request(request)),
+        }
+    }
+
+    /// Discovery was heard, or waited for for long enough: hands on what came before.
+    fn heard(&mut self) {
+        for request in self.unheard.take().unwrap_or_default() {
+            if let Some(open) = self.open.get(&request.id).filter(|open| open.answer.is_some()) {
+                let patience = seconds(open.deadline.saturating_sub(self.now));
+                self.tell(Event::Request(Request { patience, ..request }));
+            }
+        }
     }
 
     fn is_out(&self, request: RequestId, attempt: u32) -> bool {
         let open = self.open.get(&request);
-        open.and_then(|open| open.attempts.get(attempt as usize)).is_some_and(|out| *out)
+        open.and_then(|open| open.attempts.get(attempt as usize)).is_some_and(|attempt| attempt.out)
     }
 
     /// Stops waiting for an attempt that is out, and notes its end for the module.
@@ -492,14 +548,14 @@
 
     fn end(&mut self, request: RequestId, attempt: u32, outcome: Outcome, result: Bytes, load: Option<Load>) {
         let Some(open) = self.open.get_mut(&request) else { return };
-        open.attempts[attempt as usize] = false;
-        open.never_ran &= outcome.never_ran();
+        let ended = &mut open.attempts[attempt as usize];
+        (ended.out, ended.may_have_run) = (false, !outcome.never_ran());
         if outcome == Outcome::Ok {
-            if let Some(answer) = open.answer.take() {
+            if let Some(answer) = open.conclude() {
                 let _ = answer.send(Answer::Served(result));
             }
         } else if outcome == Outcome::Rejected {
-            if let Some(answer) = open.answer.take() {
+            if let Some(answer) = open.conclude() {
                 let _ = answer.send(Answer::Rejected(Fault::Unusable));
             }
         }
@@ -511,8 +567,8 @@
     /// Answers a request in the module's stead: it is overdue, or the program ends.
     fn close(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
-        let harmless = open.never_ran && !open.attempts.contains(&true);
-        if let Some(answer) = open.answer.take() {
+        let harmless = !open.attempts.iter().any(|attempt| attempt.may_have_run);
+        if let Some(answer) = open.conclude() {
             let _ = answer.send(if harmless { Answer::Refused(None) } else { Answer::Failed });
             self.tell(Event::ClientGone(request));
         }
@@ -523,7 +579,7 @@
 
     /// Forgets a request once it is concluded and none of its attempts is out.
     fn tidy(&mut self, request: RequestId) {
-        if self.open.get(&request).is_some_and(|o| o.answer.is_none() && !o.attempts.contains(&true)) {
+        if self.open.get(&request).is_some_and(|o| o.answer.is_none() && !o.is_out()) {
             if let Some(open) = self.open.remove(&request) {
                 self.ids.remove(&open.payload.id);
             }
@@ -568,7 +624,9 @@
     fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Seconds>) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = open.attempts.len() as u32;
-        open.attempts.push(true);
+        let may_have_run =
+            open.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.sent);
+        open.attempts.push(Attempt { sent: self.now, out: true, may_have_run: true });
         if open.answer.is_none() || self.now >= open.deadline || open.attempts.len() > self.max_attempts {
             return self.ended.push_back((request, attempt, Outcome::Moot));
         }
@@ -577,18 +635,25 @@
         if wanted < open.deadline {
             self.due.push(Reverse((wanted, Due::Attempt(request, attempt))));
         }
+        let within = self.repeat_within.get(open.class).copied().unwrap_or(0);
+        let latest = may_have_run.map_or(Micros::MAX, |sent| sent.saturating_add(within));
         let payload = open.payload.clone();
-        let _ = self.commands.send(Command::Attempt { request, attempt, worker, payload, deadline });
+        let _ = self.commands.send(Command::Attempt { request, attempt, worker, payload, deadline, latest });
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        if let Some(sender) = self.open.get_mut(&request).and_then(|open| open.answer.take()) {
+        if let Some(sender) = self.open.get_mut(&request).and_then(Open::conclude) {
             let _ = sender.send(answer);
         }
         self.tidy(request);
     }
 }
 
+/// For each class, how long after an attempt that may have run another may be written.
+fn repeat_within(settings: &Settings) -> Vec<Micros> {
+    settings.classes.iter().map(|class| micros(class.repeat_within())).collect()
+}
+
 impl Listed {
     /// It takes new work.
     pub fn serves(&self) -> bool {
--- a/crates/cairncrank/src/net/client.rs
+++ b/crates/cairncrank/src/net/client.rs
@@ -1,10 +1,11 @@
 //! Clients: their connections, their requests as jobs, and the answers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -38,6 +39,8 @@
 const LONGEST_ID: usize = 256;
 /// More than this is not read ahead of an answer.
 const READ_AHEAD: usize = 16 * 1024;
+/// So often it is looked at whether a client has left that has sent more than is read ahead.
+const LOOK_FOR_END: Duration = Duration::from_millis(25);
 /// A connection on which nothing was asked yet has this long for it before it is closed as idle.
 const FIRST_REQUEST: Duration = Duration::from_millis(400);
 /// While the program ends: no connection for this long, and the listener is closed.
@@ -45,7 +48,7 @@
 /// After an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Without word of discovery, the list as last held serves after this.
-const UNHEARD: Duration = Duration::from_secs(1);
+pub(super) const UNHEARD: Duration = Duration::from_secs(1);
 /// What a refused client is told where the module was not asked, in seconds.
 const COME_BACK: f64 = 1.0;
 
@@ -147,6 +150,14 @@
     }
 }
 
+/// Waits for the other side to end its sending where more has come than is read ahead: the end lies behind bytes that
+/// nobody reads now, and wakes nobody, but the system tells of it.
+async fn ended(stream: &TcpStream) {
+    while stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        sleep(LOOK_FOR_END).await;
+    }
+}
+
 /// Why a request is not taken.
 struct Rejected(u16, &'static str);
 
@@ -409,11 +420,17 @@
         let _in_flight = InFlight::new(&self.shared.metrics);
         let mut ticket = self.shared.handle.submit(job);
         loop {
-            let ahead = self.buf.len() < READ_AHEAD;
+            let more = async {
+                if self.buf.len() < READ_AHEAD {
+                    return read_more(&mut self.stream, &mut self.buf).await;
+                }
+                ended(&self.stream).await;
+                Ok(false)
+            };
             tokio::select! {
                 biased;
                 answer = ticket.answer() => return Ok(answer),
-                read = read_more(&mut self.stream, &mut self.buf), if ahead => match read {
+                read = more => match read {
                     Ok(true) => {}
                     // The client has left, or has ended its sending alone: sockets do not tell which. It counts
                     // as gone, but one that still reads gets a whole answer.
@@ -510,6 +527,7 @@
             idempotency_key,
             body: Bytes::new(),
             class: info.name.as_str().into(),
+            concluded: Cell::default(),
         };
         Ok(Some(Box::new(Job { request, patience, payload })))
     }
--- a/crates/cairncrank/src/net/mod.rs
+++ b/crates/cairncrank/src/net/mod.rs
@@ -27,7 +27,7 @@
 use tokio::task::spawn_local;
 
 use crate::config::Config;
-use crate::engine::{Clock, Engine, Handle, Input};
+use crate::engine::{Clock, Engine, Handle, Input, Micros};
 
 /// What one read asks for; a buffer grows by this.
 const READ: usize = 8 * 1024;
@@ -89,6 +89,9 @@
     let (commands, orders) = mpsc::unbounded_channel();
     let mut engine =
         Engine::new(config.settings.clone(), config.seed, config.known.1.clone(), clock, commands);
+    if config.pushed {
+        engine.hear_first(client::UNHEARD.as_micros() as Micros);
+    }
     let at = config.console;
     let (config, configs) = watch::channel(Rc::new(config));
     let pool = worker::Pool::new(configs.clone(), clock, handle.clone(), metrics.clone());
--- a/crates/cairncrank/src/net/worker.rs
+++ b/crates/cairncrank/src/net/worker.rs
@@ -130,12 +130,12 @@
 
     fn carry_out(self: &Rc<Self>, command: Command) {
         match command {
-            Command::Attempt { request, attempt, worker, payload, deadline } => {
+            Command::Attempt { request, attempt, worker, payload, deadline, latest } => {
                 let peer = self.peers.borrow().get(&worker).cloned();
                 self.begun.set(self.begun.get() + 1);
                 let (pool, reach) = (self.clone(), Reach::Unconnected);
                 let end = End { pool, request, attempt, worker, reach, told: false, load: None };
-                let task = spawn_local(try_at(peer, payload, deadline, end));
+                let task = spawn_local(try_at(peer, payload, (deadline, latest), end));
                 self.out.borrow_mut().insert((request, attempt), task.abort_handle());
             }
             Command::Cancel(request, attempt) => {
@@ -285,7 +285,12 @@
 }
 
 /// One attempt. Whatever way it ends early, `end` tells how far it had come.
-async fn try_at(peer: Option<Rc<Peer>>, payload: Rc<Payload>, deadline: Micros, mut end: End) {
+async fn try_at(
+    peer: Option<Rc<Peer>>,
+    payload: Rc<Payload>,
+    (deadline, latest): (Micros, Micros),
+    mut end: End,
+) {
     let Some(peer) = peer else { return };
     let pool = end.pool.clone();
     let (mut stream, counted, kept) = match pool.reuse(&peer) {
@@ -302,6 +307,11 @@
     if !peer.serves.get() {
         return;
     }
+    // Likewise: the client may have left meanwhile, another attempt may have served it, and what an attempt before
+    // this one may have done is no longer known to the worker once the window for repeats is over.
+    if payload.concluded.get() || pool.clock.now() >= latest {
+        return end.tell(Outcome::Moot, Bytes::new());
+    }
     let head = request_head(&peer, &payload, deadline.saturating_sub(pool.clock.now()));
     let mut message = head.chain(payload.body.clone());
     end.reach = Reach::PartWritten;
--- a/crates/cairncrank/tests/engine.rs
+++ b/crates/cairncrank/tests/engine.rs
@@ -20,6 +20,15 @@
 
 impl Bench {
     fn start(quota: f64) -> Bench {
+        Bench::start_with(quota, |_| {})
+    }
+
+    /// One that waits for discovery for so long at the most.
+    fn start_unheard(longest: u64) -> Bench {
+        Bench::start_with(1000.0, |engine| engine.hear_first(longest))
+    }
+
+    fn start_with(quota: f64, prepare: impl FnOnce(&mut Engine)) -> Bench {
         let settings = Settings {
             classes: vec![Class { repeat: Repeat::Safe, aim: 0.2, ..Class::default() }],
             tenants: vec![Tenant { share: 1.0, quota }],
@@ -39,7 +48,8 @@
         };
         let (sender, commands) = mpsc::unbounded_channel();
         let (handle, inputs) = Handle::queue();
-        let engine = Engine::new(settings, 1, vec![Listed { member, address }], Clock::start(), sender);
+        let mut engine = Engine::new(settings, 1, vec![Listed { member, address }], Clock::start(), sender);
+        prepare(&mut engine);
         tokio::task::spawn_local(engine.run(inputs));
         Bench { handle, commands }
     }
@@ -202,6 +212,33 @@
     assert_eq!(outcomes.map(Outcome::never_ran), [true, true, false, false]);
 }
 
+/// Guards against a job that goes by the list as last held before discovery was heard, where lists are pushed; and
+/// against one that waits there for longer than its client, or for a client that has left.
+#[test]
+fn what_comes_before_discovery_is_heard_waits_for_it() {
+    run(async {
+        let mut bench = Bench::start_unheard(HOUR);
+        assert!(matches!(bench.commands.recv().await, Some(Command::List(Scope::Saved, _))));
+        assert_eq!(bench.submit(20_000).answer().await, Answer::Refused(None), "its time is up");
+        drop(bench.submit(HOUR));
+        let mut waits = bench.submit(HOUR);
+        bench.handle.tell(Input::List(Scope::Full, Vec::new()));
+        assert!(matches!(bench.commands.recv().await, Some(Command::List(Scope::Full, _))));
+        assert!(matches!(waits.answer().await, Answer::Refused(Some(_))), "no worker is left");
+        assert!(bench.commands.try_recv().is_err(), "nothing was sent");
+    });
+}
+
+/// Without word of discovery the list as last held serves after a while.
+#[test]
+fn what_waits_for_discovery_goes_on_without_it_in_the_end() {
+    run(async {
+        let mut bench = Bench::start_unheard(20_000);
+        let _ticket = bench.submit(HOUR);
+        bench.attempt().await;
+    });
+}
+
 /// A list that discovery sends bars workers for the sockets before the module hears of it, and names all.
 #[test]
 fn the_list_reaches_the_sockets_first() {
