End idle client connections by a shutdown and read to the end: no reset over what crosses it

Seen: by reading; a socket whose peer had closed so took a request and then held EPIPE, shown by a scenario. A connection on which nothing was asked was closed at once while the program ended, was crowded or on standby; a request that crossed the close reset it. At fault: Connection::head, which ended such a connection as one with nobody left to talk to. What is read then is never handed in.

--- a/crates/cairncrank/src/net/client.rs
+++ b/crates/cairncrank/src/net/client.rs
@@ -169,9 +169,9 @@
 
 /// Why a conversation ends.
 enum End {
-    /// In good order, after an answer.
+    /// In good order: after an answer, or between requests.
     Close,
-    /// Between requests, or there is nobody to talk to any more: nothing more is read.
+    /// There is nobody to talk to any more.
     Lost,
     /// After an answer to what cannot be understood.
     Reject(Rejected),
@@ -340,10 +340,11 @@
                     Ok(true) => {}
                     _ => return Err(End::Lost),
                 },
-                // Closed at once and without reading on: a client whose request crosses this sends it again.
+                // A client whose request crosses this sends it again: what comes from here on is read and dropped, since
+                // a close over bytes that nobody has read resets the connection and takes the last answer along.
                 () = dismissed, if idle && !surplus => match waiting(&self.stream) {
                     true => tokio::task::yield_now().await,
-                    false => return Err(End::Lost),
+                    false => return Err(End::Close),
                 },
                 () = async { tokio::select! { () = sleep_until(begun + PATIENCE) => {} () = squeezed => {} } },
                     if !idle || surplus =>
@@ -353,7 +354,7 @@
                 () = sleep_until(begun + PATIENCE), if idle && fresh && !surplus => {
                     match waiting(&self.stream) {
                         true => tokio::task::yield_now().await,
-                        false => return Err(End::Lost),
+                        false => return Err(End::Close),
                     }
                 }
             }
--- a/crates/cairncrank/tests/scenario/mod.rs
+++ b/crates/cairncrank/tests/scenario/mod.rs
@@ -14,6 +14,7 @@
 //! | `PARTY expect` | one whole message, noted in the transcript |
 //! | `PARTY expect close` | the end of the connection, with nothing before it |
 //! | `PARTY expect nothing` | nothing has come so far: what was awaited by then came before it |
+//! | `PARTY expect end` | the other side has ended its sending in good order, with nothing before it: no reset |
 //! | `PARTY close [sending]` | close the connection, or one direction of it |
 //! | `wait MS` | let time pass |
 //! | `limit S` | each step from here on is done within so many seconds, or the scenario fails |
@@ -226,6 +227,13 @@
                 let seen = self.party(name).await.message().await;
                 let _ = writeln!(self.transcript, "{seen}");
             }
+            [name, "expect", "end"] => {
+                let party = self.party(name).await;
+                let read = party.stream.read_buf(&mut party.buf).await;
+                let error = party.stream.take_error().expect("the state of a socket");
+                let good = matches!(read, Ok(0)) && error.is_none();
+                assert!(good, "{name}: expected the end, found {read:?}, {error:?}\n{}", self.transcript);
+            }
             [name, "expect", "nothing"] => {
                 let party = self.party(name).await;
                 let read = party.stream.try_read_buf(&mut party.buf);
