Refuse a keyed job that may have run only where a repeat comes within its window

Seen: scenario window_dialling answered 503 two seconds after a send that may have run, with a window of two seconds: a client that comes back then runs the job again, and a refusal says that this does no harm. At fault: end_unserved in policy/attempts.rs, which took every job keyed over all workers for harmless, however late. Change: harmless only while now and the wait that is told lie within the window since the first send that may have run; else it is failed.

--- a/crates/cairncrank-core/src/policy/attempts.rs
+++ b/crates/cairncrank-core/src/policy/attempts.rs
@@ -99,13 +99,14 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = State::Ended;
         let class = &self.cfg.classes[job.req.class as usize];
-        let harmless = matches!(class.repeat, Repeat::Safe | Repeat::Keyed(Group::All));
-        let wait = job.slots as f64 / self.rate.slots_per_s.max(1e-3);
-        actions.push(if job.never_ran() || harmless {
-            self.refusal(id, wait)
-        } else {
-            Action::Fail { request: id }
-        });
+        let wait = (job.slots as f64 / self.rate.slots_per_s.max(1e-3)).min(self.cfg.max_retry_after);
+        // A client that comes back as it is told must come back within the window.
+        let known = |a: &Attempt| self.now + wait - a.sent < class.repeat_within();
+        let again =
+            |a: &Attempt| known(a) && matches!(class.repeat, Repeat::Safe | Repeat::Keyed(Group::All));
+        let ran = job.attempts.iter().find(|a| !a.ended.is_some_and(Outcome::never_ran));
+        let harmless = ran.is_none_or(again);
+        actions.push(if harmless { self.refusal(id, wait) } else { Action::Fail { request: id } });
         self.forget(id);
     }
 
