Make gone_dialling independent of when the system lets a connection up

Seen: 1 of 24 runs side by side found no connection at all: under load the job and its client's end came in one turn, and nothing was dialled. Change: the scenario checks that the next request that any worker gets is another client's, whatever connections come and end before it. It is as strict: a request of the client that left still fails it.

--- a/crates/cairncrank/tests/scenario/mod.rs
+++ b/crates/cairncrank/tests/scenario/mod.rs
@@ -13,6 +13,7 @@
 //! | `PARTY send list REVISION whole|changes [N=PHASE]...` | a line of discovery on these workers |
 //! | `PARTY expect` | one whole message, noted in the transcript |
 //! | `PARTY expect close` | the end of the connection, with nothing before it |
+//! | `workers expect ID alone` | the next request that any worker gets has this id; connections that come before it end with nothing sent |
 //! | `PARTY expect nothing` | nothing has come so far: what was awaited by then came before it |
 //! | `PARTY expect end` | the other side has ended its sending in good order, with nothing before it: no reset |
 //! | `PARTY close [sending]` | close the connection, or one direction of it |
@@ -50,6 +51,9 @@
 /// No wait for something that must come takes longer.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// What a message is noted as where its connection ended before it came.
+const ENDED: &str = "    (the connection ended)";
+
 /// Plays a script; returns the transcript.
 pub fn play(script: &str) -> String {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -192,7 +196,7 @@
         let _ = writeln!(self.transcript, "{step}");
         let words: Vec<&str> = step.split_whitespace().collect();
         match words[..] {
-            ["set" | "workers", ..] => {}
+            ["set", ..] | ["workers", _] => {}
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().expect("milliseconds"))).await,
             ["program", "send", "TERM"] => {
                 let (phase, longest) = (self.phase.clone(), self.longest);
@@ -211,6 +215,16 @@
             }
             ["file", "raw", text] => *self.file.borrow_mut() = json!(text),
             ["file", path, value] => put(&mut self.file.borrow_mut(), path, value.parse().expect("JSON")),
+            ["workers", "expect", id, "alone"] => loop {
+                let stream = self.at_workers.recv().await.expect("a connection");
+                let mut party = Party { stream, buf: BytesMut::new(), is_server: true };
+                let seen = party.message().await;
+                if seen != ENDED {
+                    assert!(seen.contains(&format!("Request-Id: {id},")), "found {seen:?}");
+                    break;
+                }
+                assert!(party.buf.is_empty(), "found {:?}", party.buf);
+            },
             ["program", "expect"] => (&mut self.program).await.expect("no panic").expect("an orderly end"),
             ["listener", n, "close"] => {
                 let task = &mut self.listeners[n.parse::<usize>().expect("a number") - 1].0;
@@ -369,7 +383,7 @@
             match read.expect("a readable head") {
                 Some(head) => break head,
                 None => match self.stream.read_buf(&mut self.buf).await {
-                    Ok(0) | Err(_) => return "    (the connection ended)".to_owned(),
+                    Ok(0) | Err(_) => return ENDED.to_owned(),
                     Ok(_) => {}
                 },
             }
