--- a/crates/cairncrank-core/src/news.rs
+++ b/crates/cairncrank-core/src/news.rs
@@ -15,12 +15,23 @@
 /// An agent on this machine costs nothing to ask, and what it has counts as told at once: first and longest pause, in
 /// parts of the time for which a worker that drains may still get work.
 const AGENT: (Micros, Micros) = (25, 5);
+/// An agent that does not answer within this part of that time, in hundredths, may have lost the connection: another is
+/// opened beside it, so that one of them was opened after discovery came back.
+const BESIDE: Micros = 40;
+/// That time is taken for no shorter and no longer than this, whatever the settings tell: an agent needs a moment to
+/// answer, and calls without any pause would leave none for the rest.
+const GRACE: (Micros, Micros) = (50_000, 60_000_000);
 /// Where discovery is one service for all, what breaks one watch breaks all, and a call that is turned away costs it as
 /// much as one that is answered. So the first calls are spread over so much for each dispatcher, between these; the
 /// later ones, wider and wider, up to the time that is left.
 const SPREAD: Micros = 10_000;
 const FIRST: (Micros, Micros) = (500_000, 2_000_000);
 
+/// How long an agent may take to begin its answer before another connection is opened beside it.
+pub fn beside(grace: Micros) -> Micros {
+    grace.clamp(GRACE.0, GRACE.1) * BESIDE / 100
+}
+
 /// The pauses between calls.
 #[derive(Clone, Debug)]
 pub struct Calls {
@@ -36,6 +47,7 @@
         let (first, longest) = if settings.ask_for_list {
             ((SPREAD * Micros::from(settings.instances)).clamp(FIRST.0, FIRST.1), latest)
         } else {
+            let grace = grace.clamp(GRACE.0, GRACE.1);
             (grace / AGENT.0, grace / AGENT.1)
         };
         Calls { backoff: Backoff::new(first, longest, seed), latest }
--- a/crates/cairncrank-core/tests/news.rs
+++ b/crates/cairncrank-core/tests/news.rs
@@ -1,7 +1,7 @@
 //! Discovery is called again early enough for what changes to be known when it counts as told.
 
 use cairncrank_core::backoff::Micros;
-use cairncrank_core::news::{Calls, TOLD_WITHIN};
+use cairncrank_core::news::{beside, Calls, TOLD_WITHIN};
 use cairncrank_core::Settings;
 
 const GRACE: Micros = 500_000;
@@ -38,6 +38,16 @@
     }
 }
 
+/// Settings may tell no grace, or one without measure: there is a pause all the same, and an agent has a moment to answer.
+#[test]
+fn a_grace_of_nothing_or_of_for_ever_leaves_pauses() {
+    for grace in [0, Micros::MAX] {
+        let mut calls = Calls::new(&settings(1, false), grace, 1);
+        assert!((0..20).map(|_| calls.pause(0, None)).max() > Some(5_000));
+        assert!((20_000..=24_000_000).contains(&beside(grace)));
+    }
+}
+
 /// How many of these dispatchers, whose watches ended at one moment, are answered within so long by a service as it was
 /// measured: it takes so much for a call, also for one that is turned away since it would wait for 2 s.
 fn answered(instances: u32, call: Micros, within: Micros, pause: impl Fn(&mut Calls) -> Micros) -> usize {
--- a/crates/cairncrank/src/net/discovery.rs
+++ b/crates/cairncrank/src/net/discovery.rs
@@ -24,17 +24,13 @@
 use crate::config::{self, Config, Names};
 use crate::engine::{micros, Handle, Input, Listed, Micros};
 use cairncrank_core::api::{Seconds, WorkerId, WorkerState};
-use cairncrank_core::news::Calls;
+use cairncrank_core::news::{beside, Calls};
 
 /// An empty line comes every 2 s; a watch that is silent for longer is dead, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2800);
 /// The agent is on this machine: it takes a connection at once or not at all.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
-/// An agent answers at once. Where it does not, another watch is opened beside the first, so that one of them was opened
-/// after discovery came back: what the agent gets then counts as told at that moment. This is in hundredths of the time
-/// for which a worker that drains may still get work.
-const BESIDE: Micros = 40;
-/// So many are opened beside each other at the most; the oldest goes first.
+/// So many watches are opened beside each other at the most where an agent does not answer; the oldest goes first.
 const MOST_BESIDE: usize = 8;
 /// The longest list: some thousands of workers.
 const LONGEST_LIST: usize = 4 * 1024 * 1024;
@@ -270,7 +266,7 @@
         if self.config.settings.ask_for_list {
             return Talk::open(host, &query).await;
         }
-        let beside = Duration::from_micros(self.config.drain_grace * BESIDE / 100);
+        let beside = Duration::from_micros(beside(self.config.drain_grace));
         let mut tries = JoinSet::new();
         let mut order = VecDeque::new();
         loop {
