Log each dispatcher that an observation changes, with the state's revision it saw

A strike-off that is undone could not be told from one that was never applied: no line said who put a target back. The observer now logs target, availability and the revision that it compared with; the harness shows the coordinators' logs as well where a test on a cluster fails.

--- a/crates/dispatcher/src/net/planned_drain.rs
+++ b/crates/dispatcher/src/net/planned_drain.rs
@@ -123,6 +123,15 @@
     }
 }
 
+/// Logs which dispatchers an observation changes; of workers there may be many, and other logs tell of them.
+fn log_changes(known_revision: u64, changes: &StatusChanges) {
+    let dispatchers = changes.changed.iter().filter(|status| status.target.kind == TargetKind::Dispatcher);
+    for status in dispatchers {
+        let (target, availability, incarnation) = (&status.target, status.availability, status.incarnation);
+        tracing::info!(%target, ?availability, incarnation, known_revision, "observed a change");
+    }
+}
+
 impl PlannedDrain {
     pub(super) fn new(
         readiness_validity: Micros,
@@ -304,6 +313,7 @@
             if !self.member.holds_lease(&LeaseId::fleet(OBSERVER_LEASE), token) {
                 continue;
             }
+            log_changes(known, &changes);
             let observe = DisruptionCommand::RecordObservation {
                 fencing_token: token.0,
                 known_revision: known,
--- a/crates/emulator/src/cluster/cluster_harness.rs
+++ b/crates/emulator/src/cluster/cluster_harness.rs
@@ -531,10 +531,14 @@
         (0..self.dispatchers.len()).filter_map(|n| Some((token(n)?, n))).max().map(|(_, n)| n)
     }
 
-    /// The dispatchers' logs, for whoever has to find out what went wrong.
+    /// The logs of coordinators and dispatchers, for whoever has to find out what went wrong.
     pub fn logs(&self) -> String {
-        let one = |n: usize| std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
-        (0..self.dispatchers.len()).map(|n| format!("-- d{n}\n{}", one(n))).collect()
+        let dispatcher_log =
+            |n: usize| std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
+        let coordinators =
+            (1..=self.coordinators.len()).map(|n| format!("-- k{n}\n{}", self.coordinator_log(n)));
+        let dispatchers = (0..self.dispatchers.len()).map(|n| format!("-- d{n}\n{}", dispatcher_log(n)));
+        coordinators.chain(dispatchers).collect()
     }
 
     /// How many workers a dispatcher knows, by its console.
