Keep a struck-off dispatcher unknown until it reports or is listed anew

Cause: the observer's list of members comes with its session's renewal and is older than the state. Its look after the strike-off found the dispatcher listed, silent and unknown, and recorded it as unavailable, for good (log: session ended 47.487, deregistered 47.749, "observed a change ... incarnation=0 known_revision=37" 47.838).

Change: the observer notices who left the state since its last look; such a one is left out until it reports or is listed anew. No stored form changes.

It holds whichever of renewal, look and session's end comes first. Open: an observation on its way at that very moment.

--- a/crates/dispatcher/src/net/planned_drain.rs
+++ b/crates/dispatcher/src/net/planned_drain.rs
@@ -365,7 +365,7 @@
         let members: Vec<FleetMember<'_>> =
             roster.iter().map(|peer| FleetMember { name: &peer.name, zone: &peer.zone }).collect();
         let now = clock::now();
-        let mut changes = term.observer.borrow().status_changes(now, &members, account)?;
+        let mut changes = term.observer.borrow_mut().status_changes(now, &members, account)?;
         let workers = self.listed_workers();
         // Before a list was heard nothing is known of workers, which is not that they are gone.
         if !workers.is_empty() {
--- a/crates/disruption-budget/src/availability_observer.rs
+++ b/crates/disruption-budget/src/availability_observer.rs
@@ -58,36 +58,53 @@
     report_lifetime: Micros,
     term_started: Micros,
     reports: BTreeMap<String, ReceivedReport>,
+    /// The dispatchers that the state had at the last look.
+    registered: BTreeSet<String>,
+    /// Dispatchers that were deregistered in this term and have not reported since, for as long as they are listed.
+    deregistered: BTreeSet<String>,
 }
 
 impl AvailabilityObserver {
     /// Starts a term. A report is valid for `report_lifetime`.
     pub fn new(report_lifetime: Micros, now: Micros) -> AvailabilityObserver {
-        AvailabilityObserver { report_lifetime, term_started: now, reports: BTreeMap::new() }
+        AvailabilityObserver {
+            report_lifetime,
+            term_started: now,
+            reports: BTreeMap::new(),
+            registered: BTreeSet::new(),
+            deregistered: BTreeSet::new(),
+        }
     }
 
     /// Takes a dispatcher's report.
     pub fn record_report(&mut self, report: ReadinessReport, now: Micros) {
+        self.deregistered.remove(&report.name);
         self.reports.insert(report.name.clone(), ReceivedReport { received_at: now, report });
     }
 
     /// The dispatchers whose status differs from the state: of those in the list of members and those that the state
     /// knows, of which none is ever removed. None before each had time to report in this term.
+    ///
+    /// A dispatcher that was deregistered stays unknown until it reports again or is listed anew. The list of members is
+    /// older than the state (it comes with a session's renewal) and has a lost dispatcher for as long as its session
+    /// lasts: by the list alone a deregistration would be undone at the next look.
     pub fn status_changes(
-        &self,
+        &mut self,
         now: Micros,
         members: &[FleetMember<'_>],
         state: &DisruptionState,
     ) -> Option<StatusChanges> {
-        if now.saturating_sub(self.term_started) < TERM_GRACE_REPORT_LIFETIMES * self.report_lifetime {
-            return None;
-        }
         let known: BTreeMap<String, TargetStatus> = state
             .targets()
             .filter(|status| status.target.kind == TargetKind::Dispatcher)
             .map(|status| (status.target.name.clone(), status))
             .collect();
+        self.track_deregistered(members, &known);
+        if now.saturating_sub(self.term_started) < TERM_GRACE_REPORT_LIFETIMES * self.report_lifetime {
+            return None;
+        }
         let listed = members.iter().map(|member| member.name);
+        let listed = listed.filter(|name| !self.deregistered.contains(*name));
         let names: BTreeSet<&str> = listed.chain(known.keys().map(String::as_str)).collect();
         let statuses = names.into_iter().map(|name| {
             let zone = members.iter().find(|member| member.name == name).map(|member| member.zone);
@@ -97,6 +114,19 @@
         Some(StatusChanges { changed, removed: Vec::new() })
     }
 
+    /// Remembers the dispatchers that the state had at the last look and has no more; what they reported before is void.
+    fn track_deregistered(&mut self, members: &[FleetMember<'_>], known: &BTreeMap<String, TargetStatus>) {
+        for name in std::mem::take(&mut self.registered) {
+            if !known.contains_key(&name) {
+                self.reports.remove(&name);
+                self.deregistered.insert(name);
+            }
+        }
+        let is_listed = |name: &String| members.iter().any(|member| member.name == name);
+        self.deregistered.retain(|name| is_listed(name) && !known.contains_key(name));
+        self.registered = known.keys().cloned().collect();
+    }
+
     /// A dispatcher's status, by a valid report or its silence.
     fn status(
         &self,
--- a/crates/emulator/tests/planned_drains.rs
+++ b/crates/emulator/tests/planned_drains.rs
@@ -78,6 +78,10 @@
     });
 }
 
+/// What happened: the strike-off was done, and d2's permit waited for its turn all the same. The observer's list of
+/// members, which comes with its session's renewal, still had d4 (session ended at 47.487, struck off at 47.749); the next
+/// look at 47.838 found d4 listed, silent and unknown to the state ("observed a change target=dispatcher/d4
+/// availability=Unavailable incarnation=0 known_revision=37") and put it back for good.
 #[test]
 fn a_loss_uses_the_budget_up_until_it_is_back_or_struck_off() {
     fleet(|mut fleet| async move {
