Find the leader and the observer again, so that faults hit whom they are meant for

Seen: nothing failed.

Change: the words as they are, in one place each; no leader is an error. Two tests compare with what the processes say; with the former words both fail.

--- a/crates/emulator/src/cluster/cluster_harness.rs
+++ b/crates/emulator/src/cluster/cluster_harness.rs
@@ -386,6 +386,10 @@
         std::fs::read_to_string(self.dir.join(format!("k{n}.log"))).unwrap_or_default()
     }
 
+    fn dispatcher_log(&self, n: usize) -> String {
+        std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default()
+    }
+
     /// A call of a dispatcher's console, from nought: the status, when to come again, and the text.
     pub async fn console(&self, n: usize, method: &str, path: &str) -> Option<(u16, Option<u32>, String)> {
         call_console(self.consoles[n], method, path).await
@@ -507,13 +511,13 @@
     }
 
     /// The coordinator that said last that it leads, from one.
-    pub fn leader(&self) -> usize {
-        let term = |n: &usize| {
-            let log = std::fs::read_to_string(self.dir.join(format!("k{n}.log"))).unwrap_or_default();
-            let line = log.lines().rfind(|line| line.contains("leads term=Some"))?.to_owned();
-            line.rsplit_once("Some(")?.1.split(')').next()?.parse::<u64>().ok()
-        };
-        (1..=self.coordinators.len()).max_by_key(|n| term(n)).unwrap_or(1)
+    ///
+    /// # Errors
+    /// None has said so yet.
+    pub fn leader(&self) -> Result<usize, String> {
+        let term = |n: usize| last_number(&self.coordinator_log(n), "became leader", "term=");
+        let newest = (1..=self.coordinators.len()).filter_map(|n| Some((term(n)?, n))).max();
+        newest.map(|(_, n)| n).ok_or_else(|| format!("no coordinator has become leader\n{}", self.logs()))
     }
 
     /// The dispatcher that said last that it asks for the fleet, from nought.
@@ -521,23 +525,27 @@
         self.last_logged_by("holds the list lease")
     }
 
+    /// The dispatcher that said last that it observes which dispatchers are available, from nought.
+    pub fn observer(&self) -> Option<usize> {
+        self.last_logged_by("holds the observer lease")
+    }
+
+    /// The dispatcher that said last that it grants slow-start quotas, from nought.
+    pub fn slow_start_leader(&self) -> Option<usize> {
+        self.last_logged_by("holds the slow-start lease")
+    }
+
     /// The dispatcher whose log has these words with the highest token, from nought.
-    pub fn last_logged_by(&self, words: &str) -> Option<usize> {
-        let token = |n: usize| {
-            let log = std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
-            let line = log.lines().rfind(|line| line.contains(words))?.to_owned();
-            line.rsplit_once("token=")?.1.split_whitespace().next()?.parse::<u64>().ok()
-        };
+    fn last_logged_by(&self, words: &str) -> Option<usize> {
+        let token = |n: usize| last_number(&self.dispatcher_log(n), words, "token=");
         (0..self.dispatchers.len()).filter_map(|n| Some((token(n)?, n))).max().map(|(_, n)| n)
     }
 
     /// The logs of coordinators and dispatchers, for whoever has to find out what went wrong.
     pub fn logs(&self) -> String {
-        let dispatcher_log =
-            |n: usize| std::fs::read_to_string(self.dir.join(format!("d{n}.log"))).unwrap_or_default();
         let coordinators =
             (1..=self.coordinators.len()).map(|n| format!("-- k{n}\n{}", self.coordinator_log(n)));
-        let dispatchers = (0..self.dispatchers.len()).map(|n| format!("-- d{n}\n{}", dispatcher_log(n)));
+        let dispatchers = (0..self.dispatchers.len()).map(|n| format!("-- d{n}\n{}", self.dispatcher_log(n)));
         coordinators.chain(dispatchers).collect()
     }
 
@@ -584,3 +592,9 @@
         Ok(start.elapsed())
     }
 }
+
+/// The number that follows `key` in the last line of a log that has these words.
+fn last_number(log: &str, words: &str, key: &str) -> Option<u64> {
+    let line = log.lines().rfind(|line| line.contains(words))?;
+    line.rsplit_once(key)?.1.split_whitespace().next()?.parse().ok()
+}
--- a/crates/emulator/src/cluster/dispatch_latency.rs
+++ b/crates/emulator/src/cluster/dispatch_latency.rs
@@ -172,7 +172,7 @@
         Arm::LeaderKilled => {
             while Instant::now() + KILL_INTERVAL < end {
                 sleep(KILL_INTERVAL - LEADER_RESTART).await;
-                let leader = cluster.leader();
+                let leader = cluster.leader()?;
                 cluster.kill_coordinator(leader);
                 killed += 1;
                 sleep(LEADER_RESTART).await;
--- a/crates/emulator/src/cluster/fault_injection.rs
+++ b/crates/emulator/src/cluster/fault_injection.rs
@@ -75,12 +75,12 @@
                 cluster.signal_dispatcher(dispatcher, Signal::TERM)?;
             }
             ClusterFault::KillLeader => {
-                let number = cluster.leader();
+                let number = cluster.leader()?;
                 cluster.kill_coordinator(number);
                 leader = Some(number);
             }
             ClusterFault::PauseLeader => {
-                let number = cluster.leader();
+                let number = cluster.leader()?;
                 cluster.signal_coordinator(number, Signal::STOP)?;
                 leader = Some(number);
             }
--- a/crates/emulator/src/cluster/planned_drains/faults.rs
+++ b/crates/emulator/src/cluster/planned_drains/faults.rs
@@ -24,7 +24,7 @@
         let next = Instant::now() + plan.fault_interval.mul_f64(random.random_range(0.5..1.5));
         let fault = FAULT_KINDS[random.random_range(0..FAULT_KINDS.len())];
         let any = random.random_range(0..plan.dispatchers);
-        let observer = cluster.last_logged_by("observes the fleet").unwrap_or(0);
+        let observer = cluster.observer().unwrap_or(0);
         let duration = fault.sample_duration(&mut random);
         let target = if fault.is_for_observer() { observer } else { any };
         let began_at = clock::now();
--- a/crates/emulator/src/cluster/slow_start.rs
+++ b/crates/emulator/src/cluster/slow_start.rs
@@ -146,8 +146,9 @@
         sleep(Duration::from_millis(500)).await;
     }
     if plan.kill {
-        cluster.kill_coordinator(cluster.leader());
-        if let Some(owner) = cluster.last_logged_by("holds the slow-start lease") {
+        let leader = cluster.leader()?;
+        cluster.kill_coordinator(leader);
+        if let Some(owner) = cluster.slow_start_leader() {
             cluster.kill_dispatcher(owner);
         }
     }
--- a/crates/emulator/tests/discovery_leader.rs
+++ b/crates/emulator/tests/discovery_leader.rs
@@ -127,7 +127,7 @@
 fn a_lost_keeper_is_replaced_and_the_duty_goes_on() {
     play(async {
         let (_dir, mut fleet) = start(true).await;
-        let leader = fleet.leader();
+        let leader = fleet.leader().unwrap();
         let lost = (1..=3).find(|keeper| *keeper != leader).unwrap();
         let at = fleet.replace_coordinator(lost, 4).await.unwrap().to_string();
         let refused = fleet
@@ -224,3 +224,26 @@
         assert_eq!(ended, Ok(MembershipEnd::Left));
     });
 }
+
+/// What happened: the harness looked for words that the logs had no more since their lines were reworded, and took the
+/// last coordinator for the leader and the first dispatcher for the observer. So faults meant for a leader or an observer
+/// mostly hit another process, and nothing failed.
+#[test]
+fn the_harness_finds_the_leader_as_the_coordinators_themselves_name_it() {
+    play(async {
+        let (_dir, mut fleet) = start(true).await;
+        for _ in 0..2 {
+            let leader = fleet.leader().unwrap();
+            let status = fleet.run_coordinator_command(leader, &["status"]).await.unwrap();
+            let leads = format!("keeper {leader}: leads");
+            assert!(status.contains(&leads), "{leads}\n{status}\n{}", fleet.logs());
+            fleet.kill_coordinator(leader);
+            let start = Instant::now();
+            while fleet.leader() == Ok(leader) {
+                assert!(start.elapsed() < Duration::from_secs(10), "nobody leads\n{}", fleet.logs());
+                sleep(Duration::from_millis(10)).await;
+            }
+            fleet.start_coordinator(leader).unwrap();
+        }
+    });
+}
--- a/crates/emulator/tests/mixed_versions.rs
+++ b/crates/emulator/tests/mixed_versions.rs
@@ -59,7 +59,7 @@
     LocalSet::new().block_on(&runtime, async {
         let mut fleet = mixed(dir.path()).await;
         // The older one and one newer are a majority: whoever of them leads, the duty goes on.
-        let lost = if fleet.leader() == 1 { 1 } else { 2 };
+        let lost = if fleet.leader() == Ok(1) { 1 } else { 2 };
         fleet.kill_coordinator(lost);
         let owner = fleet.discovery_leader().unwrap();
         fleet.kill_dispatcher(owner);
--- a/crates/emulator/tests/planned_drains.rs
+++ b/crates/emulator/tests/planned_drains.rs
@@ -220,6 +220,20 @@
     play(dir.path(), &Binaries::beside_tests().unwrap(), plan).unwrap()
 }
 
+/// What happened: the harness looked for words that no log had, and took d0 for the observer whoever it was.
+#[test]
+fn the_harness_finds_the_observer_and_its_successor() {
+    fleet(|mut fleet| async move {
+        let observer = fleet.observer().expect("an observer");
+        fleet.kill_dispatcher(observer);
+        let start = Instant::now();
+        while fleet.observer() == Some(observer) {
+            assert!(start.elapsed() < Duration::from_secs(10), "nobody observes\n{}", fleet.logs());
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
 #[test]
 fn drains_stay_within_their_budgets_while_processes_and_links_fail() {
     let played: Vec<ScheduleResult> = std::thread::scope(|scope| {
