Reject an unknown key-scope instead of reading it as the widest

Seen: read in the code; a test with profiles.0.key-scope=zones shows the settings taken with the scope of all workers. A keyed request could then be retried where its key is not known, and run twice.

The test that held the old reading for "anything" was wrong; it holds "all" now, and two unknown scopes are held to be errors.

--- a/crates/dispatch-core/src/settings.rs
+++ b/crates/dispatch-core/src/settings.rs
@@ -52,7 +52,7 @@
     let path = |key: &str| format!("profiles.{index}.{key}");
     let allowance = pairs.nth("family-info.class-stretch", index)?.unwrap_or(defaults.run_time_allowance);
     Ok(Class {
-        idempotency: parse_idempotency(pairs.text(&path("idempotency")), pairs.text(&path("key-scope"))),
+        idempotency: parse_idempotency(pairs.text(&path("idempotency")), pairs, &path("key-scope"))?,
         key_window: pairs.non_negative(&path("window-s"), defaults.key_window)?,
         latency_objective: pairs.non_negative(&path("promise-s"), defaults.latency_objective)?,
         run_time_allowance: pairs.non_negative(&path("aim-stretch"), allowance)?,
@@ -64,13 +64,26 @@
     })
 }
 
-fn parse_idempotency(idempotency: &str, key_scope: &str) -> Idempotency {
-    match (idempotency, key_scope) {
-        ("free", _) => Idempotency::Idempotent,
-        ("guarded", "zone") => Idempotency::WithKey(KeyScope::Zone),
-        ("guarded", "cell") => Idempotency::WithKey(KeyScope::Cell),
-        ("guarded", _) => Idempotency::WithKey(KeyScope::All),
+fn parse_idempotency(
+    idempotency: &str,
+    pairs: &SettingsPairs<'_>,
+    scope_path: &str,
+) -> Result<Idempotency, InvalidValue> {
+    Ok(match idempotency {
+        "free" => Idempotency::Idempotent,
+        "guarded" => Idempotency::WithKey(parse_key_scope(scope_path, pairs.text(scope_path))?),
         _ => Idempotency::NotIdempotent,
+    })
+}
+
+/// All workers where no scope is named. An unknown one is an error: read as a wider scope than was meant it would let a
+/// request be retried where its key is not known, and run twice.
+fn parse_key_scope(path: &str, scope: &str) -> Result<KeyScope, InvalidValue> {
+    match scope {
+        "" | "all" => Ok(KeyScope::All),
+        "zone" => Ok(KeyScope::Zone),
+        "cell" => Ok(KeyScope::Cell),
+        _ => Err(InvalidValue::new(path, scope)),
     }
 }
 
--- a/crates/dispatch-core/tests/settings_keys.rs
+++ b/crates/dispatch-core/tests/settings_keys.rs
@@ -257,11 +257,9 @@
 
 #[test]
 fn a_key_scope_narrows_what_a_key_covers() {
-    for (scope, value) in [
-        ("zone", "by key, within a zone"),
-        ("cell", "by key, within a cell"),
-        ("anything", "by key, everywhere"),
-    ] {
+    for (scope, value) in
+        [("zone", "by key, within a zone"), ("cell", "by key, within a cell"), ("all", "by key, everywhere")]
+    {
         let text = format!("profiles.count=1 profiles.0.idempotency=guarded profiles.0.key-scope={scope}");
         assert_eq!(first_repeat(&read(&text)), value);
     }
@@ -308,6 +306,13 @@
         ("resolution-s=nan", "resolution-s"),
         ("caps.probes=perhaps", "caps.probes"),
         ("profiles.count=1 profiles.0.window-s=-3", "profiles.0.window-s"),
+        // What happened: any unknown scope was read as the widest, so that a misspelt one let a keyed request be retried
+        // where its key is not known, which runs it twice.
+        (
+            "profiles.count=1 profiles.0.idempotency=guarded profiles.0.key-scope=zones",
+            "profiles.0.key-scope",
+        ),
+        ("profiles.count=1 profiles.0.idempotency=guarded profiles.0.key-scope=Cell", "profiles.0.key-scope"),
         ("profiles.count=1 family-info.class-stretch=wide", "family-info.class-stretch"),
         ("projects.count=1 projects.0.quota-per-s=many", "projects.0.quota-per-s"),
     ] {
