Measure a health report's delay by its set's present term

Seen: read in the code. With 400 sets a report that was 3 s on its way counted as fresh, and kept a verdict on a worker alive (test, failing before).

Cause: of all terms 256 were kept and the lowest token dropped, even where that was the term just reported; its next report was measured against itself.

Change: the fastest report is kept by set, for its present term; there are no more of these than sets. A new term begins anew, as its holder has another clock.

--- a/crates/cluster-member/src/health_check/verdict.rs
+++ b/crates/cluster-member/src/health_check/verdict.rs
@@ -6,9 +6,6 @@
 
 use super::{FailingWorker, HealthCheckConfig, HealthReport, InjectedBug};
 
-/// Clocks of two processes are compared by the fastest report of a term; this many terms are remembered.
-const MAX_TRACKED_TERMS: usize = 256;
-
 /// The latest report of one set.
 #[derive(Debug, Clone)]
 struct ReceivedReport {
@@ -22,8 +19,16 @@
 pub struct HealthReports {
     config: HealthCheckConfig,
     reports: BTreeMap<u16, ReceivedReport>,
-    /// By term, the smallest difference between the receiver's clock and [`HealthReport::sent_at`]: the fastest report.
-    smallest_offsets: BTreeMap<FencingToken, i128>,
+    clock_offsets: BTreeMap<u16, ClockOffset>,
+}
+
+/// How the receiver's clock stands to that of a set's lease holder. Only the present term of a set counts, so that there
+/// are no more of these than sets.
+#[derive(Debug, Clone, Copy)]
+struct ClockOffset {
+    token: FencingToken,
+    /// The smallest difference between the receiver's clock and [`HealthReport::sent_at`]: the fastest report of the term.
+    smallest: i128,
 }
 
 /// That a worker is held to fail.
@@ -38,19 +43,18 @@
 impl HealthReports {
     /// No report was received yet.
     pub fn new(config: HealthCheckConfig) -> HealthReports {
-        HealthReports { config, reports: BTreeMap::new(), smallest_offsets: BTreeMap::new() }
+        HealthReports { config, reports: BTreeMap::new(), clock_offsets: BTreeMap::new() }
     }
 
     /// Records a report of the holder of a set's lease, whose token was accepted.
     pub fn record(&mut self, set: u16, token: FencingToken, report: HealthReport, now: Micros) {
         let offset = i128::from(now) - i128::from(report.sent_at);
-        let smallest = self.smallest_offsets.entry(token).or_insert(offset);
-        *smallest = offset.min(*smallest);
+        let new_term = ClockOffset { token, smallest: offset };
+        let known = self.clock_offsets.get(&set).copied().filter(|known| known.token == token);
+        let fastest = known.unwrap_or(new_term).smallest.min(offset);
+        self.clock_offsets.insert(set, ClockOffset { token, smallest: fastest });
         // What took longer than the fastest report is older by that much.
-        let delay = u64::try_from(offset - *smallest).unwrap_or(u64::MAX);
-        while self.smallest_offsets.len() > MAX_TRACKED_TERMS {
-            self.smallest_offsets.pop_first();
-        }
+        let delay = u64::try_from(offset - fastest).unwrap_or(u64::MAX);
         self.reports.insert(set, ReceivedReport { sent_at: now.saturating_sub(delay), report });
     }
 
--- a/crates/cluster-member/tests/health_check.rs
+++ b/crates/cluster-member/tests/health_check.rs
@@ -108,6 +108,34 @@
     assert!(reports.verdicts(15 * SECOND).is_empty());
 }
 
+/// What happened: of more than 256 terms the one with the lowest token was forgotten, also where it was the very term
+/// whose report had come. A report that was three seconds on its way then counted as fresh, and kept a verdict alive.
+#[test]
+fn a_delayed_report_is_as_old_as_its_delay_however_many_terms_other_sets_have_had() {
+    let report = last_report("north", |worker| worker != 3);
+    let mut reports = HealthReports::new(HealthCheckConfig { set_count: 400, ..CONFIG });
+    reports.record(0, FencingToken(7), report.clone(), 10 * SECOND);
+    for set in 1..400 {
+        let healthy = HealthReport { failing: Vec::new(), ..report.clone() };
+        reports.record(set, FencingToken(7 + u64::from(set)), healthy, 10 * SECOND);
+    }
+    let later = HealthReport { sent_at: report.sent_at + SECOND, ..report };
+    reports.record(0, FencingToken(7), later, 14 * SECOND);
+    assert!(reports.verdicts(14 * SECOND)[&3].last_failure <= 11 * SECOND);
+    assert!(reports.verdicts(15 * SECOND).is_empty());
+}
+
+/// A new term's clock is another process's: nothing of the term before is compared with it.
+#[test]
+fn a_new_term_of_a_set_is_measured_by_its_own_reports() {
+    let report = last_report("north", |worker| worker != 3);
+    let mut reports = HealthReports::new(CONFIG);
+    reports.record(0, FencingToken(7), report.clone(), 10 * SECOND);
+    // By the clock of the next holder an hour less has passed.
+    reports.record(0, FencingToken(8), report, 3_610 * SECOND);
+    assert!(reports.verdicts(3_610 * SECOND).contains_key(&3));
+}
+
 #[test]
 fn an_observer_cut_off_from_a_zone_gives_no_verdict_there() {
     let now = 10 * SECOND;
