Pause between replicas that name each other as leader

Seen: read in the code.

Cause: CoordinatorClient::call followed a named leader at once, however often.

Change: one hint is followed at once, the next after the retry delay.

--- a/crates/cluster-member/src/coordinator_client.rs
+++ b/crates/cluster-member/src/coordinator_client.rs
@@ -84,13 +84,16 @@
     /// No replica that leads responds by the deadline: a majority is not there, or not reached.
     pub async fn call(&mut self, operation: &Operation, deadline: Instant) -> Result<Response, CallError> {
         let mut last_error = CallError::DeadlinePassed;
+        // Around a change of the leader two replicas may name each other: after one hint the next waits.
+        let mut followed_hint = false;
         while Instant::now() < deadline {
             let replica = self.current;
             let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
             match timeout_at(attempt_deadline, self.call_current(operation)).await {
                 Ok(Ok(Response::NotLeader { leader, address })) => {
                     last_error = CallError::NoLeader;
-                    if self.follow_leader(LeaderHint::new(leader, address.as_deref())) {
+                    let is_other = self.follow_leader(LeaderHint::new(leader, address.as_deref()));
+                    if is_other && !std::mem::replace(&mut followed_hint, true) {
                         continue;
                     }
                 }
@@ -105,6 +108,7 @@
                     self.select_next();
                 }
             }
+            followed_hint = false;
             sleep(RETRY_DELAY.min(deadline.saturating_duration_since(Instant::now()))).await;
         }
         Err(last_error)
