Take a slow-start share up in the slice after the start, give it up at SIGTERM

Seen: read in the code. A process that crashes and starts again four times a second sent a cold worker 8 jobs of 0.3 s within 2 s, 2.4 where 1.2 are allowed (test, failing before).

Cause: what a process has spent of a time slice is its own memory; its successor of the same number began the part anew, and one told to end went on spending it.

Change: no planned share in slices that began before the process did, and none from SIGTERM on. Granted work is as before.

Open: a successor beside a process not told to end.

--- a/crates/dispatch-core/src/policy/mod.rs
+++ b/crates/dispatch-core/src/policy/mod.rs
@@ -47,7 +47,7 @@
     jobs: FxHashMap<RequestId, Job>,
     /// Jobs that wait for a worker, first come first.
     admitted: VecDeque<RequestId>,
-    slow_start_turns: SlowStartTurns,
+    pub(crate) slow_start_turns: SlowStartTurns,
     /// Workers that answered a probe or left an idle connection, latest first.
     recently_probed: VecDeque<usize>,
     timers: TimerQueue,
@@ -84,6 +84,7 @@
     /// Begins work: subscribes to the endpoint list and arms the timer.
     pub fn start(&mut self, now: Seconds, actions: &mut Vec<Action>) {
         (self.now, self.accrued_at) = (now, now);
+        self.slow_start_turns.owned_after = now;
         if self.settings.polls_endpoint_list {
             self.watch_endpoint_list(actions);
         }
--- a/crates/dispatch-core/src/policy/slow_start.rs
+++ b/crates/dispatch-core/src/policy/slow_start.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Worker;
 use crate::hashing::mix_bits;
 use crate::job::{Candidate, Job};
-use crate::slow_start::{planned_share, time_slice, SlowStartTurns};
+use crate::slow_start::time_slice;
 
 /// The part of the budget that is planned for: running times vary, and sends of two slices may overlap.
 const PLANNED_BUDGET_SHARE: f64 = 0.25;
@@ -23,7 +23,7 @@
         let capacity = self.fleet.warm_capacity(worker, self.now) * self.fleet.slots_of(worker);
         let budget = settings.overload_multiple * capacity * settings.overload_window * PLANNED_BUDGET_SHARE;
         let part = self.mean_job_work();
-        (budget, planned_share(worker.id, self.time_slice(), budget, part, settings))
+        (budget, self.slow_start_turns.planned_share(worker.id, self.time_slice(), budget, part, settings))
     }
 
     /// A job that asks for more than our part goes there by chance, drawn once a slice: the mean keeps it.
@@ -53,7 +53,7 @@
         let time_slice = self.time_slice();
         if self.slow_start_turns.time_slice != time_slice {
             let workers = (0..self.fleet.workers.len()).filter(|index| self.is_our_turn(*index)).collect();
-            self.slow_start_turns = SlowStartTurns { time_slice, workers };
+            (self.slow_start_turns.time_slice, self.slow_start_turns.workers) = (time_slice, workers);
         }
         for _ in 0..MAX_SAMPLE.min(self.slow_start_turns.workers.len()) {
             let position = self.rng.usize(..self.slow_start_turns.workers.len());
--- a/crates/dispatch-core/src/slow_start.rs
+++ b/crates/dispatch-core/src/slow_start.rs
@@ -5,6 +5,7 @@
 
 use crate::api::{Seconds, Settings, WorkerId};
 use crate::hashing::mix_bits;
+use crate::policy::Dispatcher;
 
 /// The most grants of one worker that are held; further ones are as if they had not come.
 const MAX_GRANTS: usize = 32;
@@ -73,6 +74,36 @@
 pub(crate) struct SlowStartTurns {
     pub time_slice: u64,
     pub workers: Vec<usize>,
+    /// In slices that began before this, another process may have spent the planned share that is ours by its number.
+    pub owned_after: Seconds,
+}
+
+impl SlowStartTurns {
+    /// What is planned for this dispatcher in a slice; see [`planned_share`]. Nothing in the slice of its start, since the
+    /// process before it may have spent that, and nothing any more once it has given its share up.
+    pub(crate) fn planned_share(
+        &self,
+        worker: WorkerId,
+        time_slice: u64,
+        budget: f64,
+        part: f64,
+        settings: &Settings,
+    ) -> f64 {
+        let began_at = time_slice as f64 * settings.overload_window.max(MIN_TIME_SLICE);
+        if began_at < self.owned_after {
+            return 0.0;
+        }
+        planned_share(worker, time_slice, budget, part, settings)
+    }
+}
+
+impl Dispatcher {
+    /// Gives the planned share of slow-start budgets up for good: this process ends, and its successor, which has the same
+    /// number, may serve already. Work that was granted is still sent.
+    pub fn release_slow_start_share(&mut self) {
+        self.slow_start_turns.owned_after = Seconds::INFINITY;
+        self.slow_start_turns.time_slice = u64::MAX;
+    }
 }
 
 /// The number of a span in which each planned part has one owner, by the clock that all dispatchers share.
--- a/crates/dispatch-core/tests/common/mod.rs
+++ b/crates/dispatch-core/tests/common/mod.rs
@@ -92,10 +92,15 @@
 
 impl Driver {
     pub fn new(cfg: Settings, seed: u64, workers: &[Endpoint]) -> Self {
+        Driver::new_at(100.0, cfg, seed, workers)
+    }
+
+    /// A dispatcher that starts at this time.
+    pub fn new_at(now: f64, cfg: Settings, seed: u64, workers: &[Endpoint]) -> Self {
         let mut d = Driver {
             dispatcher: Dispatcher::new(cfg.clone(), seed),
             cfg,
-            now: 100.0,
+            now,
             requests: BTreeMap::new(),
             log: Vec::new(),
             timers: Vec::new(),
--- a/crates/dispatch-core/tests/rules.rs
+++ b/crates/dispatch-core/tests/rules.rs
@@ -219,6 +219,72 @@
     }
 }
 
+/// When a process sent work to the one worker there is, which started at 100.0; it gets a request every 10 ms.
+fn sends_of_process(process: &mut Driver, until: f64, first_id: u64) -> Vec<f64> {
+    let mut id = first_id;
+    while process.now < until - 0.005 {
+        process.advance(0.01);
+        process.request(request(id));
+        id += 1;
+    }
+    process.requests.values().flat_map(|record| &record.sends).map(|send| send.0).collect()
+}
+
+/// What happened: a process began its part of the present slice of the slow-start budget anew, though the process before it
+/// may have spent it. One that crashes again and again sent its part each time, and a worker that had just started got
+/// several times what it can take.
+#[test]
+fn processes_that_restart_within_a_slice_keep_the_slow_start_budget() {
+    let worker = Endpoint { started_at: 100.0, ..endpoint(1, WorkerState::Serving) };
+    let (share, warm, span, multiple, work) = (0.2, 20.0, 2.0, 3.0, 0.3);
+    let mut sent = Vec::new();
+    for life in 0..40_u64 {
+        // Some lives span the border of two slices.
+        let begins = 100.1 + life as f64 / 4.0;
+        let mut process = Driver::new_at(begins, settings(), 7 + life, &[worker]);
+        sent.extend(sends_of_process(&mut process, begins + 0.25, life * 1000));
+    }
+    assert!(!sent.is_empty(), "a cold worker gets some work");
+    for &from in &sent {
+        let in_span = sent.iter().filter(|at| (from..from + span).contains(*at)).count();
+        let capacity = share + (1.0 - share) * (from - 100.0) / warm;
+        let allowed = multiple * capacity * span;
+        assert!(in_span as f64 * work <= allowed, "{in_span} sends from {from} on, {allowed} allowed");
+    }
+}
+
+/// The part of a slice is taken up by the next process in the slice after its start, and by none for good.
+#[test]
+fn a_process_takes_its_part_of_the_slow_start_budget_up_in_the_slice_after_its_start() {
+    let worker = Endpoint { started_at: 100.0, ..endpoint(1, WorkerState::Serving) };
+    let mut process = Driver::new_at(105.0, settings(), 7, &[worker]);
+    let sent = sends_of_process(&mut process, 110.0, 0);
+    assert!(sent.iter().all(|at| *at >= 106.0), "{sent:?}");
+    assert!(sent.iter().any(|at| *at < 108.0), "{sent:?}");
+}
+
+/// Slices are counted by the length that the settings name: a longer one must not make the count wait for the old one.
+#[test]
+fn a_process_keeps_its_part_of_the_slow_start_budget_when_the_settings_name_longer_slices() {
+    let worker = Endpoint { started_at: 100.0, ..endpoint(1, WorkerState::Serving) };
+    let mut process = Driver::new_at(101.0, settings(), 7, &[worker]);
+    let longer = Settings { overload_window: 3.0, ..settings() };
+    process.event(Event::Settings(&longer));
+    assert!(!sends_of_process(&mut process, 110.0, 0).is_empty());
+}
+
+/// A process that is told to end gives its part up at once: its successor may be there already.
+#[test]
+fn a_process_that_drains_gives_its_part_of_the_slow_start_budget_up() {
+    let worker = Endpoint { started_at: 100.0, ..endpoint(1, WorkerState::Serving) };
+    let mut process = Driver::new_at(101.0, settings(), 7, &[worker]);
+    assert!(!sends_of_process(&mut process, 104.0, 0).is_empty());
+    let before = process.requests.values().flat_map(|record| &record.sends).count();
+    process.dispatcher.release_slow_start_share();
+    let after = sends_of_process(&mut process, 112.0, 10_000).len();
+    assert_eq!(after, before);
+}
+
 /// Six in ten of 60 workers have just started, and 100 dispatchers carry the traffic, one of them a third of it: the
 /// ones in slow start get some of it, and the sum stays within the budget. Some dispatchers restart on the way, and some hear of
 /// the workers late.
--- a/crates/dispatcher/src/engine/event_loop.rs
+++ b/crates/dispatcher/src/engine/event_loop.rs
@@ -192,6 +192,7 @@
                 self.retry_windows = retry_windows(&settings);
                 self.notify_policy(Event::Settings(&settings));
             }
+            Input::Draining => self.dispatcher.release_slow_start_share(),
             Input::Shutdown => {
                 self.shutting_down = true;
                 self.requests.ids().into_iter().for_each(|id| self.force_close(id));
--- a/crates/dispatcher/src/engine/messages.rs
+++ b/crates/dispatcher/src/engine/messages.rs
@@ -128,6 +128,8 @@
     EndpointList(ListScope, Vec<ListedEndpoint>),
     /// Other settings hold from here on.
     Configure(Box<Settings>),
+    /// The program is to end, and its successor may serve already: give up what is shared by number.
+    Draining,
     /// The program ends: answer what is open.
     Shutdown,
 }
--- a/crates/dispatcher/src/net/client/mod.rs
+++ b/crates/dispatcher/src/net/client/mod.rs
@@ -107,9 +107,12 @@
     });
     let mut listener = Some(listener);
     let mut tasks = JoinSet::new();
-    let mut shutdown_sent = false;
+    let (mut draining_sent, mut shutdown_sent) = (false, false);
     loop {
         let now = *phase.borrow_and_update();
+        if now >= ShutdownPhase::Draining && !std::mem::replace(&mut draining_sent, true) {
+            handle.send(Input::Draining);
+        }
         if now >= ShutdownPhase::Finishing && !std::mem::replace(&mut shutdown_sent, true) {
             handle.send(Input::Shutdown);
         }
--- a/crates/dispatcher/tests/crowd.rs
+++ b/crates/dispatcher/tests/crowd.rs
@@ -12,6 +12,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Barrier;
 use std::time::{Duration, Instant};
 
 use dispatcher::config::Config;
@@ -25,6 +26,8 @@
 const SOCKETS: u64 = 256;
 /// More than the limit on client connections at that, twice over.
 const IDLE_CLIENTS: usize = 306;
+/// Clients that keep their connections.
+const KEPT_CLIENTS: usize = 12;
 /// What a caller gives its request.
 const REQUEST_TIME: Duration = Duration::from_millis(300);
 /// An answer up to so much later earns nothing, but is no loss.
@@ -142,6 +145,16 @@
     Closed(Duration),
 }
 
+/// A request, and whether the connection is to be kept after it.
+fn request(id: &str, keep: bool) -> String {
+    let millis = REQUEST_TIME.as_millis();
+    let connection = if keep { "keep-alive" } else { "close" };
+    format!(
+        "POST /lookup HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nTenant: web\r\nRequest-Timeout-Ms: {millis}\r\n\
+         Connection: {connection}\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
+
 /// One request on a new connection.
 ///
 /// # Panics
@@ -150,12 +163,7 @@
     let begun = Instant::now();
     let Ok(mut stream) = TcpStream::connect(address) else { return Ending::Closed(begun.elapsed()) };
     stream.set_read_timeout(Some(READ_LIMIT)).expect("a socket");
-    let millis = REQUEST_TIME.as_millis();
-    let request = format!(
-        "POST /lookup HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nTenant: web\r\nRequest-Timeout-Ms: {millis}\r\n\
-         Connection: close\r\nContent-Length: 2\r\n\r\nhi"
-    );
-    let _ = stream.write_all(request.as_bytes());
+    let _ = stream.write_all(request(id, false).as_bytes());
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
     let took = begun.elapsed();
@@ -168,6 +176,49 @@
     }
 }
 
+/// One request on a connection that is kept, and whether it stays open for another.
+///
+/// # Panics
+/// Half an answer came, or in all that time nothing.
+fn call_kept(stream: &mut TcpStream, id: &str) -> (Ending, bool) {
+    let begun = Instant::now();
+    let _ = stream.write_all(request(id, true).as_bytes());
+    let (mut answer, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        let text = String::from_utf8_lossy(&answer).into_owned();
+        if let Some(status) = parse_whole_answer(&text) {
+            return (Ending::Answered(status, begun.elapsed()), !text.contains("Connection: close"));
+        }
+        match stream.read(&mut part) {
+            Ok(count) if count > 0 => answer.extend_from_slice(&part[..count]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => panic!("no end: {text:?}"),
+            _ if answer.is_empty() => return (Ending::Closed(begun.elapsed()), false),
+            _ => panic!("half an answer: {text:?}"),
+        }
+    }
+}
+
+/// A client that keeps its connection and uses it for as long as it is open, and then a new one, until none is taken. It
+/// waits once, after its first request.
+fn call_on_kept_connections(address: SocketAddr, name: usize, first_answered: &Barrier) -> Vec<Ending> {
+    let mut endings = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        stream.set_read_timeout(Some(READ_LIMIT)).expect("a socket");
+        loop {
+            let (ending, open) = call_kept(&mut stream, &format!("{name}-{}", endings.len()));
+            endings.push(ending);
+            if endings.len() == 1 {
+                first_answered.wait();
+            }
+            if !open {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+    endings
+}
+
 /// The status of an answer that came whole.
 fn parse_whole_answer(text: &str) -> Option<u16> {
     let (head, body) = text.split_once("\r\n\r\n")?;
@@ -233,6 +284,26 @@
     assert!(lost(&endings).is_empty(), "{:?} of {}", lost(&endings), endings.len());
 }
 
+/// Clients use open connections until the dispatcher has ended, a crowd beside them.
+#[test]
+fn clients_on_kept_connections_beside_a_crowd_are_not_left_waiting_by_a_shutdown() {
+    let mut dispatcher = Dispatcher::start();
+    let address = dispatcher.address;
+    let first_answered = &Barrier::new(KEPT_CLIENTS + 1);
+    let endings: Vec<Ending> = std::thread::scope(|scope| {
+        let client = |name| scope.spawn(move || call_on_kept_connections(address, name, first_answered));
+        let clients: Vec<_> = (0..KEPT_CLIENTS).map(client).collect();
+        first_answered.wait();
+        let crowd = crowd(address);
+        dispatcher.terminate();
+        let endings = clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect();
+        drop(crowd);
+        endings
+    });
+    assert!(lost(&endings).is_empty(), "{:?} of {}", lost(&endings), endings.len());
+    assert!(endings.len() > 3 * KEPT_CLIENTS, "{endings:?}");
+}
+
 /// The crowd gives way: it has asked nothing, and a caller asks at once.
 #[test]
 fn a_caller_beside_a_crowd_gets_an_answer_since_idle_clients_give_way() {
--- a/crates/dispatcher/tests/engine.rs
+++ b/crates/dispatcher/tests/engine.rs
@@ -274,3 +274,45 @@
         assert!(matches!(bench.submit(HOUR).answer().await, Answer::Refused(Some(_))));
     });
 }
+
+/// The successor of a process that drains may serve already, and has the same part of each slow-start budget.
+#[test]
+fn a_process_that_drains_sends_no_more_to_a_worker_that_is_warming_up() {
+    run(async {
+        let mut bench = Bench::start(1000.0);
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+        let settings = Settings {
+            classes: vec![Class { idempotency: Idempotency::Idempotent, ..Class::default() }],
+            tenants: vec![Tenant { share: 1.0, quota: 1000.0 }],
+            cancellation_allowed: true,
+            max_attempts: 3,
+            slow_start_duration: 10_000.0,
+            slow_start_min_capacity: 0.5,
+            overload_multiple: 1000.0,
+            overload_window: 0.1,
+            ..Settings::default()
+        };
+        bench.handle.send(Input::Configure(Box::new(settings)));
+        let endpoint = Endpoint {
+            worker: WorkerId(8),
+            kind: 0,
+            zone: 0,
+            cell: 0,
+            started_at: unix.as_secs_f64() - 1.0,
+            state: WorkerState::Serving,
+        };
+        let address = Some(SocketAddr::from(([127, 0, 0, 1], 9)));
+        bench.handle.send(Input::EndpointList(ListScope::Full, vec![ListedEndpoint { endpoint, address }]));
+        // The slice of the start is over.
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        let mut first = bench.submit(HOUR);
+        let (request, attempt) = bench.attempt().await;
+        bench.handle.send(Input::AttemptEnded(request, attempt, Outcome::Ok, Bytes::from("x"), None));
+        assert_eq!(first.answer().await, Answer::Served(Bytes::from("x")));
+        bench.handle.send(Input::Draining);
+        let _second = bench.submit(HOUR);
+        // Without the share it would be sent at once, or with the next slice of 0.1 s.
+        let sent = tokio::time::timeout(std::time::Duration::from_millis(400), bench.attempt()).await;
+        assert!(sent.is_err(), "{sent:?}");
+    });
+}
