Keep the settings of a job from its acceptance to its final response

Cause: a job held the position of its class, and retry, hedging, rejection, key scope and window, kind, late weight and attempts were looked up by it in the settings in force; the engine's last check before the write read new windows and attempts as well. Evidence: in the record the second begin comes 2.2 s after the first, with no attempt ended, so it is a hedged request.

Change: JobSettings, made by Settings::for_job from the configuration that checked the head, travels with the request; engine and decisions read it and nothing else about a class. Reads by position are gone, the engine keeps no settings. The same holds for a job held until the first list and for a body that comes after SIGHUP.

--- a/crates/dispatch-core/src/api/event.rs
+++ b/crates/dispatch-core/src/api/event.rs
@@ -1,6 +1,7 @@
 //! The events that a caller passes to a dispatcher, and the types in them.
 
 use super::ids::{RequestId, Seconds, WorkerId};
+use super::job_settings::JobSettings;
 use super::settings::Settings;
 use crate::load_report::LoadReport;
 
@@ -113,10 +114,16 @@
 /// An input of a dispatcher.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
-    /// The settings changed. Existing classes and tenants keep their positions; new ones may be appended.
+    /// The settings changed. Existing classes and tenants keep their positions; new ones may be appended. Open jobs
+    /// keep the settings under which they were accepted.
     Settings(&'a Settings),
-    /// A request arrived.
-    Request(Request),
+    /// A request was accepted by the caller.
+    Request {
+        /// The request.
+        request: Request,
+        /// Settings of the job, as they were when the caller accepted the request.
+        settings: JobSettings,
+    },
     /// A streamed response began.
     StreamStarted {
         /// The request.
--- a/crates/dispatch-core/src/api/mod.rs
+++ b/crates/dispatch-core/src/api/mod.rs
@@ -6,10 +6,12 @@
 mod action;
 mod event;
 mod ids;
+mod job_settings;
 mod settings;
 
 pub use crate::load_report::LoadReport;
 pub use action::Action;
 pub use event::{Endpoint, Event, ListScope, Outcome, Request, WorkerState};
 pub use ids::{RequestId, Seconds, WorkerId};
+pub use job_settings::JobSettings;
 pub use settings::{CapacityReservation, Class, Idempotency, KeyScope, LoadReports, Settings, Tenant};
--- a/crates/dispatch-core/src/api/settings.rs
+++ b/crates/dispatch-core/src/api/settings.rs
@@ -26,8 +26,8 @@
     Cell,
 }
 
-/// A class of requests.
-#[derive(Clone, Debug)]
+/// A class of requests. [`Settings::for_job`] copies its settings into each job.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     /// Whether and where a job may run more than once.
     pub idempotency: Idempotency,
@@ -43,29 +43,6 @@
     pub required_kind: Option<u32>,
 }
 
-/// Fraction of the key window within which a job is retried; the rest is a margin, because the clocks of worker and
-/// dispatcher may differ.
-const USABLE_KEY_WINDOW: f64 = 0.9;
-
-impl Class {
-    /// Returns the time for which a job may be sent again after an attempt that may have run.
-    pub fn retry_window(&self) -> Seconds {
-        match self.idempotency {
-            Idempotency::Idempotent => f64::INFINITY,
-            Idempotency::WithKey(_) => self.key_window * USABLE_KEY_WINDOW,
-            Idempotency::NotIdempotent => 0.0,
-        }
-    }
-
-    /// Whether a client may retry a job when this time has passed since an attempt that may have run. The client's
-    /// retry may reach any worker.
-    pub fn allows_client_retry(&self, after: Seconds) -> bool {
-        let any_worker =
-            matches!(self.idempotency, Idempotency::Idempotent | Idempotency::WithKey(KeyScope::All));
-        any_worker && after < self.retry_window()
-    }
-}
-
 impl Default for Class {
     fn default() -> Self {
         Class {
@@ -109,7 +86,8 @@
     pub price: f64,
 }
 
-/// Settings of a dispatcher, at its start or after a reload.
+/// Settings of a dispatcher, at its start or after a reload. What they say of a job binds it by way of
+/// [`Settings::for_job`].
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Number of this dispatcher, from 0 to [`Settings::instances`] - 1.
--- a/crates/dispatch-core/src/job.rs
+++ b/crates/dispatch-core/src/job.rs
@@ -1,6 +1,6 @@
 //! The state of jobs and their attempts, from the arrival of a request to the end of its last attempt.
 
-use crate::api::{Action, Class, Outcome, Request, Seconds};
+use crate::api::{Action, JobSettings, Outcome, Request, Seconds};
 use crate::run_time::RunTimeModel;
 
 /// The state of a job.
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub request: Request,
+    /// Settings at the acceptance of the request; later settings do not bind the job.
+    pub settings: JobSettings,
     /// Expected running time: the mean of the class, or the client's hint if that is longer.
     pub run_time: Seconds,
     /// Logarithm of the expected work.
@@ -49,28 +51,30 @@
     /// Returns a queued job for a request that has just arrived.
     pub(crate) fn new(
         request: Request,
+        settings: JobSettings,
         slots: i64,
-        class: &Class,
         run_times: &RunTimeModel,
         timing: JobTiming,
     ) -> Job {
         let log_work = run_times.log_work(request.expected_run_time);
         let JobTiming { arrived_at, age, start_by } = timing;
-        let allowance = class.run_time_allowance * log_work.exp();
+        let allowance = settings.run_time_allowance() * log_work.exp();
         Job {
             run_time: run_times.mean.max(request.expected_run_time.unwrap_or(0.0)),
             log_work,
-            objective_due: arrived_at - age + class.latency_objective + allowance,
+            objective_due: arrived_at - age + settings.latency_objective() + allowance,
             arrived_at,
             state: JobState::Queued,
             attempts: Vec::new(),
             request,
+            settings,
             slots,
             start_by,
         }
     }
 
-    /// Returns the class, as a position in the settings.
+    /// Returns the class, as a position in the estimates by class. What the settings say of the job is in
+    /// [`Job::settings`].
     pub(crate) fn class(&self) -> usize {
         self.request.class as usize
     }
@@ -141,6 +145,7 @@
             attempt,
             outcome,
             request: self.request,
+            settings: self.settings,
             size: self.size(),
             log_work: self.log_work,
             is_retry: number > 0,
@@ -202,6 +207,8 @@
     pub attempt: Attempt,
     pub outcome: Outcome,
     pub request: Request,
+    /// Settings of the job.
+    pub settings: JobSettings,
     /// Size of the job, in slots.
     pub size: f64,
     /// Logarithm of the job's expected work.
--- a/crates/dispatch-core/src/policy/admission.rs
+++ b/crates/dispatch-core/src/policy/admission.rs
@@ -3,7 +3,7 @@
 //! Otherwise it is rejected at once, as a whole, with a retry-after.
 
 use super::Dispatcher;
-use crate::api::{Action, Request, RequestId, Seconds};
+use crate::api::{Action, JobSettings, Request, RequestId, Seconds};
 use crate::job::{Job, JobTiming};
 
 /// Minimum time that a job is given to start, unless half of its timeout is shorter.
@@ -16,7 +16,7 @@
 
 impl Dispatcher {
     /// Admits, queues or rejects a request. A request whose id is already in use is ignored.
-    pub(super) fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
+    pub(super) fn on_request(&mut self, request: Request, settings: JobSettings, actions: &mut Vec<Action>) {
         if self.jobs.contains_key(&request.id) {
             return;
         }
@@ -27,16 +27,14 @@
         }
         self.accrue_tokens();
         self.record_arrival(&request, slots as f64);
-        let timing = self.estimate_timing(&request);
-        if let Some(wait) = self.rejection_wait(&request, slots, timing) {
+        let timing = self.estimate_timing(&request, &settings);
+        if let Some(wait) = self.rejection_wait(&request, &settings, slots, timing) {
             return actions.push(self.rejection(request.id, wait));
         }
         let earliest_deadline = self.now + MIN_START_TIME.min(request.timeout / 2.0);
         let timing = JobTiming { start_by: timing.start_by.max(earliest_deadline), ..timing };
-        let class = request.class as usize;
-        let job =
-            Job::new(request, slots, &self.settings.classes[class], &self.workload.run_times[class], timing);
-        self.enqueue(job, actions);
+        let run_times = &self.workload.run_times[request.class as usize];
+        self.enqueue(Job::new(request, settings, slots, run_times, timing), actions);
     }
 
     /// Returns the request with its class and tenant limited to the lists of the settings.
@@ -72,10 +70,9 @@
 
     /// Estimates the age of a request and the time by which its job must start for the response to be in
     /// time.
-    fn estimate_timing(&mut self, request: &Request) -> JobTiming {
-        let class = request.class as usize;
-        let slack = self.workload.run_times[class]
-            .start_slack(&self.settings.classes[class], request.expected_run_time);
+    fn estimate_timing(&mut self, request: &Request, settings: &JobSettings) -> JobTiming {
+        let run_times = &self.workload.run_times[request.class as usize];
+        let slack = run_times.start_slack(settings, request.expected_run_time);
         let age = self.request_age(request);
         let latest_start = request.timeout - CLOCK_STEPS_TO_RESPOND * self.settings.clock_resolution;
         JobTiming { arrived_at: self.now, age, start_by: self.now + (slack - age).min(latest_start) }
@@ -98,9 +95,14 @@
 
     /// Returns the retry-after to suggest to the client if the request is rejected, or `None` if it is
     /// accepted.
-    fn rejection_wait(&mut self, request: &Request, slots: i64, timing: JobTiming) -> Option<Seconds> {
-        let late_weight = self.settings.classes[request.class as usize].late_weight;
-        let is_too_late = timing.start_by <= self.now && late_weight == 0.0;
+    fn rejection_wait(
+        &mut self,
+        request: &Request,
+        settings: &JobSettings,
+        slots: i64,
+        timing: JobTiming,
+    ) -> Option<Seconds> {
+        let is_too_late = timing.start_by <= self.now && settings.late_weight() == 0.0;
         let bank = &self.banks[request.tenant as usize];
         let is_rejected = is_too_late || bank.balance < slots || request.timeout <= 0.0;
         if !is_rejected {
--- a/crates/dispatch-core/src/policy/attempts.rs
+++ b/crates/dispatch-core/src/policy/attempts.rs
@@ -2,7 +2,7 @@
 //! class allows it.
 
 use super::Dispatcher;
-use crate::api::{Action, Idempotency, LoadReport, LoadReports, Outcome, RequestId};
+use crate::api::{Action, LoadReport, LoadReports, Outcome, RequestId};
 use crate::job::{Attempt, EndedAttempt, Job, JobState};
 use crate::run_time::RunningJob;
 
@@ -28,10 +28,10 @@
     /// Ends a job that was not served: as rejected if its client may send it again, otherwise as failed.
     pub(super) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let class = &self.settings.classes[job.class()];
         let wait = (job.slots as f64 / self.rate.partial(1.0)).min(self.settings.max_retry_after);
         // A client that honors the retry-after must be able to retry within the retry window.
-        let may_return = |attempt: &Attempt| class.allows_client_retry(self.now + wait - attempt.sent_at);
+        let may_return =
+            |attempt: &Attempt| job.settings.allows_client_retry(self.now + wait - attempt.sent_at);
         let is_retry_harmless = job.possible_runs().next().is_none_or(may_return);
         let action = if is_retry_harmless { self.rejection(id, wait) } else { Action::Fail { request: id } };
         actions.push(action);
@@ -106,8 +106,7 @@
 
     /// Whether a job without an open attempt may be sent again and can still start in time.
     fn may_retry(&self, job: &Job) -> bool {
-        let class = &self.settings.classes[job.class()];
-        let is_harmless = job.never_ran() || class.idempotency != Idempotency::NotIdempotent;
+        let is_harmless = job.never_ran() || job.settings.allows_repeats();
         let has_expired = job.has_expired(self.now, self.settings.clock_resolution);
         is_harmless && !has_expired && job.start_by > self.now
     }
@@ -182,11 +181,9 @@
     /// Counts a served job as accepted, or as rejected if it waited long. A long wait indicates congestion,
     /// whereas a long run depends on the job or the worker.
     fn record_served_wait(&mut self, ended: &EndedAttempt) {
-        let class = ended.request.class as usize;
-        let settings = &self.settings.classes[class];
-        let run_times = &self.workload.run_times[class];
-        let likely_run_time = run_times.mean * settings.run_time_allowance.max(1.0);
-        let slack = run_times.start_slack(settings, ended.request.expected_run_time);
+        let run_times = &self.workload.run_times[ended.request.class as usize];
+        let likely_run_time = run_times.mean * ended.settings.run_time_allowance().max(1.0);
+        let slack = run_times.start_slack(&ended.settings, ended.request.expected_run_time);
         if ended.wait(self.now, likely_run_time) <= CONGESTED_WAIT * slack {
             self.rate.accepted += ended.size;
         } else {
--- a/crates/dispatch-core/src/policy/mod.rs
+++ b/crates/dispatch-core/src/policy/mod.rs
@@ -127,7 +127,7 @@
     fn handle(&mut self, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
             Event::Settings(settings) => self.on_settings(settings),
-            Event::Request(request) => self.on_request(request, actions),
+            Event::Request { request, settings } => self.on_request(request, settings, actions),
             Event::StreamStarted { request, attempt } | Event::JobStarted { request, attempt } => {
                 self.on_job_started(request, attempt)
             }
@@ -150,7 +150,8 @@
         }
     }
 
-    /// Applies new settings. Estimates are kept, and the banks get the new shares of their tenants.
+    /// Applies new settings. Estimates are kept, the banks get the new shares of their tenants, and open jobs
+    /// keep the settings under which they were accepted.
     fn on_settings(&mut self, settings: &Settings) {
         self.accrue_tokens();
         let settings = settings.clone().normalized(self.workload.run_times.len());
--- a/crates/dispatch-core/src/policy/outlier_detection.rs
+++ b/crates/dispatch-core/src/policy/outlier_detection.rs
@@ -2,7 +2,7 @@
 //! stalled workers are hedged.
 
 use super::Dispatcher;
-use crate::api::{Action, Idempotency, LoadReports, RequestId, Seconds};
+use crate::api::{Action, LoadReports, RequestId, Seconds};
 use crate::job::{Attempt, Job, JobState};
 use crate::timers::{TimerEvent, TIMER_TOLERANCE};
 
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Sends a hedged request if settings, class and budget allow one and a worker is available.
+    /// Sends a hedged request if the job's settings and the budget allow one and a worker is available.
     fn hedge(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.remove(&id) else { return };
         let candidate = if self.may_hedge(&job) { self.choose_worker(&job) } else { None };
@@ -64,10 +64,8 @@
     }
 
     fn may_hedge(&self, job: &Job) -> bool {
-        let idempotency = self.settings.classes[job.class()].idempotency;
-        self.settings.hedging_allowed
-            && idempotency != Idempotency::NotIdempotent
-            && job.attempts.len() < self.settings.max_attempts as usize
+        job.settings.allows_hedging()
+            && job.attempts.len() < job.settings.max_attempts()
             && self.hedge_budget.allows_hedge()
     }
 }
--- a/crates/dispatch-core/src/policy/placement.rs
+++ b/crates/dispatch-core/src/policy/placement.rs
@@ -75,7 +75,7 @@
     }
 
     fn decide_placement(&mut self, job: &Job) -> Placement {
-        let may_send = job.attempts.len() < self.settings.max_attempts.max(1) as usize;
+        let may_send = job.attempts.len() < job.settings.max_attempts();
         let candidate = if may_send { self.choose_worker(job) } else { None };
         let has_reports = self.settings.load_reports != LoadReports::None;
         let is_early = self.now + TIMER_TOLERANCE < job.placement_deadline(PLACEMENT_WAIT);
@@ -97,9 +97,8 @@
 
     /// Whether the job is almost certain to be late at its best worker and a late response has no weight.
     fn deadline_unreachable(&self, job: &Job, candidate: Candidate) -> bool {
-        let late_weight = self.settings.classes[job.class()].late_weight;
         let run_times = &self.workload.run_times[job.class()];
-        late_weight == 0.0
+        job.settings.late_weight() == 0.0
             && job.never_ran()
             && run_times.deadline_unreachable(candidate.lateness_probability)
     }
--- a/crates/dispatch-core/src/policy/worker_cost.rs
+++ b/crates/dispatch-core/src/policy/worker_cost.rs
@@ -88,7 +88,7 @@
 
     /// Returns the cost of the risk of a late response, as a multiple of the job's work.
     fn lateness_cost(&self, job: &Job, lateness_probability: f64) -> f64 {
-        let late_weight = self.settings.classes[job.class()].late_weight;
+        let late_weight = job.settings.late_weight();
         let lateness_weight = self.workload.run_times[job.class()].lateness_weight();
         LATENESS_COST * lateness_probability * (1.0 - late_weight) * lateness_weight
     }
--- a/crates/dispatch-core/src/policy/worker_selection.rs
+++ b/crates/dispatch-core/src/policy/worker_selection.rs
@@ -66,7 +66,7 @@
     /// Whether a worker is eligible for the job.
     pub(super) fn is_eligible(&self, index: usize, job: &Job) -> bool {
         let worker = &self.fleet.workers[index];
-        let required_kind = self.settings.classes[job.class()].required_kind;
+        let required_kind = job.settings.required_kind();
         worker.state == WorkerState::Serving
             && required_kind.is_none_or(|kind| kind as usize == worker.kind)
             && (!worker.health.is_ejected(self.now, worker.in_flight > 0) || self.fleet.most_are_unhealthy())
@@ -77,10 +77,9 @@
 
     /// Whether a job with an idempotency key that may have run may go to this worker.
     fn key_scope_allows(&self, worker: &Worker, job: &Job) -> bool {
-        let class = &self.settings.classes[job.class()];
-        let Idempotency::WithKey(scope) = class.idempotency else { return true };
+        let Idempotency::WithKey(scope) = job.settings.idempotency() else { return true };
         job.possible_runs().all(|attempt| {
-            self.now - attempt.sent_at < class.retry_window()
+            self.now - attempt.sent_at < job.settings.retry_window()
                 && self.fleet.workers[attempt.worker].shares_keys_with(worker, scope)
         })
     }
--- a/crates/dispatch-core/src/run_time.rs
+++ b/crates/dispatch-core/src/run_time.rs
@@ -15,7 +15,7 @@
 //! worker that has become slow; if running times spread over a factor of ten, many are needed. The gains follow from
 //! the observations and need no settings.
 
-use crate::api::{Class, Seconds};
+use crate::api::{JobSettings, Seconds};
 
 /// Learning rate per job of the means of a class.
 pub(crate) const CLASS_LEARNING_RATE: f64 = 1.0 / 64.0;
@@ -143,11 +143,11 @@
         hint.clamp(reference - max_deviation, reference + max_deviation)
     }
 
-    /// Returns the time that a job of the class may wait before it starts and still be in time, given its expected
-    /// running time.
-    pub(crate) fn start_slack(&self, class: &Class, hint: Option<Seconds>) -> Seconds {
+    /// Returns the time that a job of the class may wait before it starts and still be in time, given its settings and
+    /// its expected running time.
+    pub(crate) fn start_slack(&self, settings: &JobSettings, hint: Option<Seconds>) -> Seconds {
         let run_time = self.log_work(hint).exp();
-        class.latency_objective + (class.run_time_allowance - 1.0).max(0.0) * run_time
+        settings.latency_objective() + (settings.run_time_allowance() - 1.0).max(0.0) * run_time
     }
 
     /// Records the timeout of a client of the class. Returns the longest timeout so far.
--- a/crates/dispatcher/src/engine/event_loop.rs
+++ b/crates/dispatcher/src/engine/event_loop.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::mpsc;
 
-use super::clock::{micros, seconds, Clock, Micros};
+use super::clock::{seconds, Clock, Micros};
 use super::messages::{AttemptEnd, AttemptId, Command, Input, ListedEndpoint};
 use super::request_table::RequestTable;
 use super::timers::{Timer, Timers};
@@ -22,9 +22,6 @@
 /// The task that owns the decision module.
 pub struct Engine {
     pub(super) dispatcher: Dispatcher,
-    pub(super) max_attempts: usize,
-    /// Retry window of each class.
-    pub(super) retry_windows: Vec<Micros>,
     /// Requests that wait for the first endpoint list; `None` if no list is awaited.
     pub(super) awaiting_initial_list: Option<Vec<Request>>,
     pub(super) clock: Clock,
@@ -57,8 +54,6 @@
         commands: mpsc::UnboundedSender<Command>,
     ) -> Engine {
         let mut engine = Engine {
-            max_attempts: max_attempts(&settings),
-            retry_windows: retry_windows(&settings),
             dispatcher: Dispatcher::new(settings, seed),
             awaiting_initial_list: None,
             clock,
@@ -146,12 +141,6 @@
         }
         self.perform_actions();
     }
-
-    pub(super) fn apply_settings(&mut self, settings: &Settings) {
-        self.max_attempts = max_attempts(settings);
-        self.retry_windows = retry_windows(settings);
-        self.notify_policy(Event::Settings(settings));
-    }
 }
 
 /// Sleeps until this time, or forever if there is none.
@@ -161,12 +150,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn max_attempts(settings: &Settings) -> usize {
-    settings.max_attempts.max(1) as usize
-}
-
-/// Returns the retry window of each class.
-fn retry_windows(settings: &Settings) -> Vec<Micros> {
-    settings.classes.iter().map(|class| micros(class.retry_window())).collect()
-}
--- a/crates/dispatcher/src/engine/inputs.rs
+++ b/crates/dispatcher/src/engine/inputs.rs
@@ -29,7 +29,7 @@
                 self.notify_policy(Event::SlowStartGrant { worker, work, expires_at: seconds(expires_at) });
             }
             Input::EndpointList { scope, endpoints } => self.update_endpoints(scope, endpoints),
-            Input::Configure(settings) => self.apply_settings(&settings),
+            Input::Configure(settings) => self.notify_policy(Event::Settings(&settings)),
             Input::Draining => self.dispatcher.release_slow_start_share(),
             Input::Shutdown => self.shut_down(),
         }
--- a/crates/dispatcher/src/engine/messages.rs
+++ b/crates/dispatcher/src/engine/messages.rs
@@ -9,7 +9,8 @@
 
 use super::clock::Micros;
 use dispatch_core::api::{
-    Endpoint, ListScope, LoadReport, Outcome, Request, RequestId, Seconds, Settings, WorkerId, WorkerState,
+    Endpoint, JobSettings, ListScope, LoadReport, Outcome, Request, RequestId, Seconds, Settings, WorkerId,
+    WorkerState,
 };
 
 /// Parts of a job that reach a worker unchanged.
@@ -36,6 +37,8 @@
 pub struct Job {
     /// Request for the decision module; the engine fills in `id` and `timeout`.
     pub request: Request,
+    /// Settings of the job, of the same configuration by which its request was checked.
+    pub settings: JobSettings,
     /// Time for which the client waits.
     pub timeout: Micros,
     /// Parts of the job for the worker.
@@ -196,7 +199,7 @@
         /// Entries of the list.
         endpoints: Vec<ListedEndpoint>,
     },
-    /// New settings take effect.
+    /// New settings take effect, for the jobs that are accepted from now on.
     Configure(Box<Settings>),
     /// A graceful shutdown began: this instance releases its slow-start share, because a successor may already use it.
     Draining,
--- a/crates/dispatcher/src/engine/request_table.rs
+++ b/crates/dispatcher/src/engine/request_table.rs
@@ -8,7 +8,7 @@
 
 use super::clock::Micros;
 use super::messages::{AttemptId, FinalResponse, Payload};
-use dispatch_core::api::RequestId;
+use dispatch_core::api::{JobSettings, RequestId};
 
 /// An open request.
 pub(super) struct OpenRequest {
@@ -16,7 +16,8 @@
     pub(super) payload: Rc<Payload>,
     /// Channel for the final response; `None` once the request is concluded.
     pub(super) response_sender: Option<oneshot::Sender<FinalResponse>>,
-    pub(super) class: usize,
+    /// Settings of the job, as they were when it was accepted.
+    pub(super) settings: JobSettings,
     pub(super) attempts: Vec<Attempt>,
 }
 
--- a/crates/dispatcher/src/engine/requests.rs
+++ b/crates/dispatcher/src/engine/requests.rs
@@ -32,7 +32,7 @@
             deadline,
             payload: Rc::new(job.payload),
             response_sender: Some(response_sender),
-            class: job.request.class as usize,
+            settings: job.settings,
             attempts: Vec::new(),
         };
         self.requests.insert(id, open);
@@ -40,7 +40,7 @@
         let request = Request { id, timeout: seconds(job.timeout), ..job.request };
         match &mut self.awaiting_initial_list {
             Some(awaiting) => awaiting.push(request),
-            None => self.notify_policy(Event::Request(request)),
+            None => self.notify_policy(Event::Request { request, settings: job.settings }),
         }
     }
 
@@ -50,8 +50,9 @@
             let Some(open) = self.requests.get(request.id).filter(|open| !open.is_concluded()) else {
                 continue;
             };
+            let settings = open.settings;
             let timeout = seconds(open.deadline.saturating_sub(self.now));
-            self.notify_policy(Event::Request(Request { timeout, ..request }));
+            self.notify_policy(Event::Request { request: Request { timeout, ..request }, settings });
         }
     }
 
@@ -61,8 +62,9 @@
         let attempt = AttemptId { request, number: open.attempts.len() as u32 };
         let first_sent_at = open.first_sent_that_may_have_run();
         open.attempts.push(Attempt { sent_at: self.now, in_flight: true, may_have_run: true });
-        let may_send =
-            !open.is_concluded() && self.now < open.deadline && open.attempts.len() <= self.max_attempts;
+        let may_send = !open.is_concluded()
+            && self.now < open.deadline
+            && open.attempts.len() <= open.settings.max_attempts();
         if !may_send {
             self.abandoned_attempts.push_back(AttemptEnd::without_result(attempt, Outcome::NotSent));
             return;
@@ -73,7 +75,7 @@
         if timeout_at < open.deadline {
             self.timers.set(timeout_at, Timer::Attempt(attempt));
         }
-        let retry_window = self.retry_windows.get(open.class).copied().unwrap_or(0);
+        let retry_window = micros(open.settings.retry_window());
         let not_after = first_sent_at.map_or(Micros::MAX, |sent_at| sent_at.saturating_add(retry_window));
         let _ = self.commands.send(Command::Attempt {
             attempt,
--- a/crates/dispatcher/src/net/client/request.rs
+++ b/crates/dispatcher/src/net/client/request.rs
@@ -45,7 +45,7 @@
     query: &'a str,
 }
 
-/// Parses the head of a request.
+/// Parses the head of a request. The job gets the settings of the configuration by which its head is checked.
 ///
 /// # Errors
 /// Returns the first [`RequestError`] of the head.
@@ -95,7 +95,8 @@
         class: info.name.as_str().into(),
         concluded: Cell::default(),
     };
-    Ok(ClientRequest::Job(Box::new(Job { request, timeout, payload })))
+    let settings = config.settings.for_job(request.class);
+    Ok(ClientRequest::Job(Box::new(Job { request, settings, timeout, payload })))
 }
 
 fn parse_target(target: &Bytes) -> Result<Target<'_>, RequestError> {
--- a/crates/emulator/src/router.rs
+++ b/crates/emulator/src/router.rs
@@ -5,8 +5,8 @@
 //! interface.
 
 use dispatch_core::api::{
-    Action, Endpoint, Event, Idempotency, ListScope, Outcome, Request, RequestId, Seconds, Settings,
-    WorkerId, WorkerState,
+    Action, Endpoint, Event, Idempotency, JobSettings, ListScope, Outcome, Request, RequestId, Seconds,
+    Settings, WorkerId, WorkerState,
 };
 use dispatch_core::Dispatcher;
 use rand::Rng as _;
@@ -110,7 +110,8 @@
 }
 
 struct OpenRequest {
-    class: u32,
+    /// Settings at the acceptance of the request.
+    settings: JobSettings,
     /// Worker and outcome of each attempt; no outcome while it is in flight.
     attempts: Vec<(WorkerId, Option<Outcome>)>,
 }
@@ -184,8 +185,7 @@
     fn dispatch(&mut self, request: RequestId, actions: &mut Vec<Action>, oracle: &dyn OracleView) {
         let choice = self.choose_worker(request, oracle);
         let Some(open) = self.open_requests.get_mut(&request) else { return };
-        let max_attempts = self.settings.max_attempts.max(1) as usize;
-        match choice.filter(|_| open.attempts.len() < max_attempts) {
+        match choice.filter(|_| open.attempts.len() < open.settings.max_attempts()) {
             Some(worker) => {
                 open.attempts.push((worker, None));
                 *self.outstanding.entry(worker).or_default() += 1;
@@ -194,7 +194,7 @@
             None => {
                 let may_reject =
                     open.attempts.iter().all(|(_, outcome)| outcome.is_some_and(Outcome::never_ran))
-                        || self.idempotency(request) == Idempotency::Idempotent;
+                        || open.settings.idempotency() == Idempotency::Idempotent;
                 self.open_requests.remove(&request);
                 let retry_after = self.settings.max_retry_after.min(MAX_RETRY_AFTER);
                 actions.push(if may_reject {
@@ -206,11 +206,6 @@
         }
     }
 
-    fn idempotency(&self, request: RequestId) -> Idempotency {
-        let class = self.open_requests.get(&request).map_or(0, |open| open.class as usize);
-        self.settings.classes.get(class).map_or(Idempotency::NotIdempotent, |class| class.idempotency)
-    }
-
     fn on_endpoint_list(&mut self, scope: ListScope, endpoints: &[Endpoint]) {
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             self.states.clear();
@@ -233,8 +228,8 @@
 
     fn on_event(&mut self, _: Seconds, event: Event<'_>, actions: &mut Vec<Action>, oracle: &dyn OracleView) {
         match event {
-            Event::Request(Request { id, class, .. }) => {
-                self.open_requests.insert(id, OpenRequest { class, attempts: Vec::new() });
+            Event::Request { request: Request { id, .. }, settings } => {
+                self.open_requests.insert(id, OpenRequest { settings, attempts: Vec::new() });
                 self.dispatch(id, actions, oracle);
             }
             Event::AttemptEnded { request, attempt, outcome, complete, .. } => {
@@ -242,15 +237,14 @@
                 let Some((worker, attempt_outcome)) = open.attempts.get_mut(attempt as usize) else { return };
                 let worker = *worker;
                 *attempt_outcome = Some(outcome);
+                let is_idempotent = open.settings.idempotency() == Idempotency::Idempotent;
                 if let Some(count) = self.outstanding.get_mut(&worker) {
                     *count = count.saturating_sub(1);
                 }
                 let timed_out = outcome == Outcome::Timeout;
                 if complete {
                     self.open_requests.remove(&request);
-                } else if !timed_out
-                    && (outcome.never_ran() || self.idempotency(request) == Idempotency::Idempotent)
-                {
+                } else if !timed_out && (outcome.never_ran() || is_idempotent) {
                     self.dispatch(request, actions, oracle);
                 } else {
                     self.open_requests.remove(&request);
--- a/crates/emulator/src/virtual_time/simulation/clients.rs
+++ b/crates/emulator/src/virtual_time/simulation/clients.rs
@@ -66,7 +66,8 @@
             expected_run_time: None,
             affinity_key: None,
         };
-        self.deliver(dispatcher, Event::Request(request));
+        let settings = self.dispatchers[dispatcher as usize].settings.for_job(job.class);
+        self.deliver(dispatcher, Event::Request { request, settings });
         let answered =
             self.dispatchers[dispatcher as usize].open_requests.get(&id).is_none_or(|open| open.answered);
         if !answered {
--- a/crates/emulator/src/virtual_time/simulation/mod.rs
+++ b/crates/emulator/src/virtual_time/simulation/mod.rs
@@ -32,6 +32,8 @@
 struct DispatcherHost {
     /// None while the dispatcher is down.
     router: Option<Box<dyn Router>>,
+    /// Settings of the router.
+    settings: Settings,
     zone: u32,
     incarnation: u32,
     /// Endpoint list of the discovery agent beside the dispatcher, by worker id. It also serves as the saved list.
@@ -177,6 +179,7 @@
         for plan in &self.day.dispatchers {
             self.dispatchers.push(DispatcherHost {
                 router: None,
+                settings: Settings::default(),
                 zone: plan.zone,
                 incarnation: 0,
                 agent_list: endpoints.iter().map(|endpoint| (endpoint.worker.0, *endpoint)).collect(),
--- a/crates/simulator-adapter/src/events.rs
+++ b/crates/simulator-adapter/src/events.rs
@@ -3,7 +3,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine as _;
 
-use dispatch_core::api::{Event, ListScope, LoadReport, Outcome, Request, RequestId};
+use dispatch_core::api::{Event, ListScope, LoadReport, Outcome, Request, RequestId, Settings};
 use dispatch_core::load_report::LoadReportFormat;
 use dispatch_core::settings_pairs::InvalidValue;
 
@@ -23,8 +23,8 @@
 
 /// Parses the events of one instance.
 pub(crate) struct EventReader<'a> {
-    /// Format of the load reports that workers send to this instance.
-    pub(crate) format: &'a LoadReportFormat,
+    /// Settings of this instance.
+    pub(crate) settings: &'a Settings,
     /// Endpoint lists that events refer to.
     pub(crate) lists: &'a EndpointLists,
     /// Buffer for the bytes of a message while its event is handled.
@@ -39,13 +39,13 @@
         };
         let fields = line.fields;
         let event = match kind {
-            EventKind::Request => Event::Request(read_request(fields)?),
+            EventKind::Request => read_accepted_request(fields, self.settings)?,
             EventKind::StreamStarted => read_stream_started(fields)?,
             EventKind::Update => return read_update(fields),
-            EventKind::AttemptEnded => read_response(fields, self.format)?,
+            EventKind::AttemptEnded => read_response(fields, &self.settings.load_report_format)?,
             EventKind::ClientDisconnected => Event::ClientDisconnected(read_id(fields)?),
             EventKind::Timer => read_timer(fields)?,
-            EventKind::ProbeEnded => read_probe_result(fields, self.format)?,
+            EventKind::ProbeEnded => read_probe_result(fields, &self.settings.load_report_format)?,
             EventKind::PeerMessage => read_message(fields, self.message)?,
             EventKind::EndpointList => read_list(fields, self.lists)?,
         };
@@ -57,6 +57,12 @@
     Ok(RequestId(fields.required(REQUEST)?))
 }
 
+/// Parses a request, which is accepted under the settings of the instance.
+fn read_accepted_request<'a>(fields: Fields<'_>, settings: &Settings) -> Result<Event<'a>, InvalidValue> {
+    let request = read_request(fields)?;
+    Ok(Event::Request { request, settings: settings.for_job(request.class) })
+}
+
 fn read_request(mut fields: Fields<'_>) -> Result<Request, InvalidValue> {
     let id = RequestId(fields.required(REQUEST)?);
     let slots = fields.number("slots")?.unwrap_or(1.0);
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -6,8 +6,7 @@
 use rustc_hash::FxHashMap;
 use thiserror::Error;
 
-use dispatch_core::api::{Action, Seconds};
-use dispatch_core::load_report::LoadReportFormat;
+use dispatch_core::api::{Action, Seconds, Settings};
 use dispatch_core::settings::parse_settings;
 use dispatch_core::settings_pairs::{InvalidValue, SettingsPairs};
 use dispatch_core::Dispatcher;
@@ -46,7 +45,7 @@
 /// A hosted dispatcher.
 struct Instance {
     dispatcher: Dispatcher,
-    load_report_format: LoadReportFormat,
+    settings: Settings,
 }
 
 /// Hosts dispatchers for a simulator.
@@ -181,10 +180,9 @@
         let mut fields = line.fields;
         let seed = fields.required("a seed")?;
         let settings = parse_settings(&SettingsPairs::parse(fields.rest())?)?;
-        let load_report_format = settings.load_report_format.clone();
-        let mut dispatcher = Dispatcher::new(settings, seed);
+        let mut dispatcher = Dispatcher::new(settings.clone(), seed);
         dispatcher.start(self.now, &mut self.actions);
-        self.instances.insert(self.selected_instance.clone(), Instance { dispatcher, load_report_format });
+        self.instances.insert(self.selected_instance.clone(), Instance { dispatcher, settings });
         self.append_actions();
         Ok(())
     }
@@ -194,11 +192,8 @@
             // The simulator may still send events of an instance that it has removed.
             return Ok(());
         };
-        let reader = EventReader {
-            format: &instance.load_report_format,
-            lists: &self.lists,
-            message: &mut Vec::new(),
-        };
+        let reader =
+            EventReader { settings: &instance.settings, lists: &self.lists, message: &mut Vec::new() };
         if let Some(event) = reader.read(line)? {
             instance.dispatcher.on_event(self.now, event, &mut self.actions);
         }
--- a/examples/scheduler.rs
+++ b/examples/scheduler.rs
@@ -26,7 +26,7 @@
         max_retry_after: 2.0,
         ..Settings::default()
     };
-    let mut dispatcher = Dispatcher::new(settings, 42);
+    let mut dispatcher = Dispatcher::new(settings.clone(), 42);
     let mut now = 0.0;
     let mut actions = Vec::new();
     dispatcher.start(now, &mut actions);
@@ -62,7 +62,9 @@
             expected_run_time: None,
             affinity_key: None,
         };
-        dispatcher.on_event(now, Event::Request(job), &mut actions);
+        // A job keeps the settings under which it is accepted, whatever a reload changes later.
+        let accepted = Event::Request { request: job, settings: settings.for_job(job.class) };
+        dispatcher.on_event(now, accepted, &mut actions);
 
         // Carries out the actions. Each attempt ends exactly once, and its end may cause further actions.
         let mut pending: VecDeque<Action> = actions.drain(..).collect();
