Compare a keyed retry with the location of its worker at the send

Cause: key_scope_allows took the zone and cell of an earlier attempt's worker from the present endpoint list. A worker that is listed elsewhere while its job is open drew the retry there, where nobody knows the key, so that the job could run twice.

Change: an attempt records the location of its worker when it is sent.

Result: a_retry_with_a_key_stays_in_the_cell_of_the_attempt_when_the_worker_moves failed before ("rule 2: request 1 sent outside its key scope") and passes; all tests of dispatch-core, dispatcher and simulator-adapter pass.

--- a/crates/dispatch-core/src/job.rs
+++ b/crates/dispatch-core/src/job.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Action, JobSettings, Outcome, Request, Seconds};
 use crate::run_time::RunTimeModel;
+use crate::worker::Location;
 
 /// The state of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,6 +177,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
     pub worker: usize,
+    /// Location of the worker at the time of the send, where its idempotency key is known since then.
+    pub location: Location,
     pub sent_at: Seconds,
     /// Time at which the job began to run, if the worker reported it.
     pub started_at: Option<Seconds>,
@@ -189,9 +192,10 @@
 
 impl Attempt {
     /// Returns an open attempt that is sent now.
-    pub(crate) fn new(candidate: &Candidate, now: Seconds) -> Attempt {
+    pub(crate) fn new(candidate: &Candidate, location: Location, now: Seconds) -> Attempt {
         Attempt {
             worker: candidate.worker,
+            location,
             sent_at: now,
             started_at: None,
             had_free_slot: candidate.has_free_slot,
--- a/crates/dispatch-core/src/policy/placement.rs
+++ b/crates/dispatch-core/src/policy/placement.rs
@@ -109,7 +109,8 @@
         let size = job.size();
         let work = job.work();
         job.state = JobState::InFlight;
-        job.attempts.push(Attempt::new(&candidate, self.now));
+        let location = self.fleet.workers[candidate.worker].location();
+        job.attempts.push(Attempt::new(&candidate, location, self.now));
         self.fleet.add_slots(candidate.worker, size, self.observation_time());
         let time_slice = self.time_slice();
         let worker = &mut self.fleet.workers[candidate.worker];
--- a/crates/dispatch-core/src/policy/worker_selection.rs
+++ b/crates/dispatch-core/src/policy/worker_selection.rs
@@ -80,7 +80,7 @@
         let Idempotency::WithKey(scope) = job.settings.idempotency() else { return true };
         job.possible_runs().all(|attempt| {
             self.now - attempt.sent_at < job.settings.retry_window()
-                && self.fleet.workers[attempt.worker].shares_keys_with(worker, scope)
+                && worker.location().shares_keys_with(attempt.location, scope)
         })
     }
 
--- a/crates/dispatch-core/src/worker.rs
+++ b/crates/dispatch-core/src/worker.rs
@@ -81,9 +81,23 @@
         self.idle_connection_until = now + IDLE_CONNECTION_USE * keep_alive;
     }
 
-    /// Whether another worker knows the idempotency keys of the jobs that this worker may have run, so that it drops
-    /// repeats of them.
-    pub(crate) fn shares_keys_with(&self, other: &Worker, scope: KeyScope) -> bool {
+    /// Returns the present location of the worker.
+    pub(crate) fn location(&self) -> Location {
+        Location { zone: self.zone, cell: self.cell }
+    }
+}
+
+/// The zone and the cell of a worker, which determine the workers that know its idempotency keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Location {
+    zone: u32,
+    cell: u32,
+}
+
+impl Location {
+    /// Whether a worker here knows the idempotency keys of the jobs that were sent to a worker at the other location, so
+    /// that it drops repeats of them.
+    pub(crate) fn shares_keys_with(self, other: Location, scope: KeyScope) -> bool {
         match scope {
             KeyScope::All => true,
             KeyScope::Zone => self.zone == other.zone,
--- a/crates/dispatch-core/tests/rules.rs
+++ b/crates/dispatch-core/tests/rules.rs
@@ -177,6 +177,23 @@
     }
 }
 
+/// Guards against a retry at workers that do not know the job's key: a worker that is listed in another cell after an
+/// attempt has left its keys in the cell in which the attempt was sent to it.
+#[test]
+fn a_retry_with_a_key_stays_in_the_cell_of_the_attempt_when_the_worker_moves() {
+    let classes = vec![Class { latency_objective: 20.0, ..class(Idempotency::WithKey(KeyScope::Cell)) }];
+    let mut driver = Driver::new(Settings { classes, ..settings() }, 3, &fleet(4));
+    driver.advance(1.0);
+    driver.request(Request { timeout: 30.0, ..request(1) });
+    let SendRecord { worker, location, .. } = driver.requests[&1].sends[0];
+    let moved = Endpoint { cell: 1 - location.cell, ..endpoint(worker.0, WorkerState::Serving) };
+    driver.send_list(ListScope::Incremental, &[moved]);
+    driver.end_attempt(1, 0, Outcome::Reset);
+    driver.advance(3.0);
+    let cells: Vec<u32> = driver.requests[&1].sends.iter().map(|send| send.location.cell).collect();
+    assert_eq!(cells, [location.cell; 2]);
+}
+
 #[test]
 fn a_timeout_at_the_deadline_is_answered_at_once() {
     let mut driver = Driver::new(settings(), 3, &[endpoint(1, WorkerState::Serving)]);
