Search each byte of a worker's answer once for the end of its line

Cause: Lines searched the unfinished line from its start after each piece.

Change: it remembers how far the line was searched. Chunk headers and heads, which need a read for each piece, are left as they are.

--- a/crates/dispatcher/src/net/http/lines.rs
+++ b/crates/dispatcher/src/net/http/lines.rs
@@ -4,9 +4,15 @@
 
 use super::Malformed;
 
-/// Buffer of a body that is split into lines.
+/// Buffer of a body that is split into lines. Each byte is searched once for the end of its line, however small the
+/// pieces are.
 #[derive(Debug, Default)]
-pub struct Lines(BytesMut);
+pub struct Lines {
+    /// Bytes that were not returned yet.
+    buffer: BytesMut,
+    /// Number of bytes at the start of the buffer that contain no line end.
+    searched: usize,
+}
 
 impl Lines {
     /// Adds a piece of the body.
@@ -16,26 +22,36 @@
     pub fn add(&mut self, piece: Bytes, max_length: usize) -> Result<(), Malformed> {
         match piece.try_into_mut() {
             // No other slice of the buffer exists and no partial line is pending: no copy is needed.
-            Ok(piece) if self.0.is_empty() => self.0 = piece,
-            Ok(piece) => self.0.extend_from_slice(&piece),
-            Err(piece) => self.0.extend_from_slice(&piece),
+            Ok(piece) if self.buffer.is_empty() => self.buffer = piece,
+            Ok(piece) => self.buffer.extend_from_slice(&piece),
+            Err(piece) => self.buffer.extend_from_slice(&piece),
         }
-        match self.0.iter().position(|byte| *byte == b'\n') {
-            None if self.0.len() > max_length => Err(Malformed::BodyTooLarge),
+        match self.line_end() {
+            None if self.buffer.len() > max_length => Err(Malformed::BodyTooLarge),
             _ => Ok(()),
         }
     }
 
     /// Returns the next complete line without its line end.
     pub fn next_line(&mut self) -> Option<Bytes> {
-        let end = self.0.iter().position(|byte| *byte == b'\n')?;
-        let line = self.0.split_to(end + 1).freeze();
+        let end = self.line_end()?;
+        let line = self.buffer.split_to(end + 1).freeze();
+        self.searched = 0;
         let length = line[..end].strip_suffix(b"\r").map_or(end, <[u8]>::len);
         Some(line.slice(..length))
     }
 
     /// Returns what remains once the body has ended: a last line without a line end.
     pub fn rest(&mut self) -> Bytes {
-        self.0.split().freeze()
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+
+    /// Returns the position of the first line end in the buffer.
+    fn line_end(&mut self) -> Option<usize> {
+        let found = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n');
+        let end = found.map(|position| self.searched + position);
+        self.searched = end.unwrap_or(self.buffer.len());
+        end
     }
 }
