Read a worker on once the engine has handled its progress

Cause: each progress line became an input of the engine's queue, which has no limit, and connections were read on regardless.

Change: the start is reported once, of the progress lines of one read the latest alone; before the next read the connection waits until the engine has handled it (a barrier in the queue). Lists of discovery are read likewise, and what is read at the end of a watch is limited. Other tasks get a turn between two reads of a response.

--- a/crates/dispatcher/src/engine/handle.rs
+++ b/crates/dispatcher/src/engine/handle.rs
@@ -16,8 +16,10 @@
 }
 
 impl Handle {
-    /// Creates the input queue. It is unbounded: each connection has at most one open request, so the number of
-    /// connections limits its length.
+    /// Creates the input queue. It has no limit of its own, so that a drop guard can always report an end. Its length is
+    /// limited by what is open: a request adds its submission and its disconnect, and an attempt its start and its end.
+    /// A peer that may add more, with progress reports or endpoint lists, is read on only once the engine has handled
+    /// what it sent before ([`Handle::handled`]).
     pub fn channel() -> (Handle, mpsc::UnboundedReceiver<Input>) {
         let (inputs, queue) = mpsc::unbounded_channel();
         (Handle { inputs, next_id: Rc::new(Cell::new(1)) }, queue)
@@ -28,6 +30,14 @@
         let _ = self.inputs.send(input);
     }
 
+    /// Waits until the engine has handled all inputs that were sent before, or has ended.
+    pub async fn handled(&self) {
+        let (sender, reached) = oneshot::channel();
+        self.send(Input::Barrier(sender));
+        // Nothing is sent: the receiver is woken when the sender is dropped.
+        let _ = reached.await;
+    }
+
     /// Submits a job. Dropping the returned value before the final response means that the client disconnected.
     pub fn submit(&self, job: Job) -> PendingJob {
         let id = RequestId(self.next_id.get());
--- a/crates/dispatcher/src/engine/inputs.rs
+++ b/crates/dispatcher/src/engine/inputs.rs
@@ -32,6 +32,7 @@
             Input::Configure(settings) => self.notify_policy(Event::Settings(&settings)),
             Input::Draining => self.dispatcher.release_slow_start_share(),
             Input::Shutdown => self.shut_down(),
+            Input::Barrier(reached) => drop(reached),
         }
         self.report_abandoned_attempts();
     }
--- a/crates/dispatcher/src/engine/messages.rs
+++ b/crates/dispatcher/src/engine/messages.rs
@@ -205,6 +205,8 @@
     Draining,
     /// The process ends: the engine answers all open requests immediately.
     Shutdown,
+    /// Marks a position in the queue: the sender is dropped once all earlier inputs are handled.
+    Barrier(oneshot::Sender<()>),
 }
 
 /// A command of the engine to the network layer.
--- a/crates/dispatcher/src/net/discovery/connection.rs
+++ b/crates/dispatcher/src/net/discovery/connection.rs
@@ -118,9 +118,12 @@
         }
     }
 
-    /// Reads the bytes that the socket has already received.
-    pub(super) async fn read_received(&mut self) {
-        while has_unread_bytes(&self.stream) && read_more(&mut self.stream, &mut self.buffer).await.is_ok() {}
+    /// Reads the bytes that the socket has already received, about `max_length` at most.
+    pub(super) async fn read_received(&mut self, max_length: usize) {
+        while self.buffer.len() < max_length
+            && has_unread_bytes(&self.stream)
+            && read_more(&mut self.stream, &mut self.buffer).await.is_ok()
+        {}
     }
 
     /// Returns the next piece of the response's body from the buffer.
--- a/crates/dispatcher/src/net/discovery/watch_session.rs
+++ b/crates/dispatcher/src/net/discovery/watch_session.rs
@@ -97,7 +97,7 @@
             error = self.listen(&mut connection) => return watch_failed(&connection, error),
         }
         // Lists that the source has already sent are still valid, even if they were not read yet.
-        let _ = timeout(FINAL_READ_TIMEOUT, connection.read_received()).await;
+        let _ = timeout(FINAL_READ_TIMEOUT, connection.read_received(MAX_LIST_BYTES)).await;
         let _ = self.process_buffer(&mut connection);
         WatchEnded { answered: connection.answered, ..WatchEnded::now(WatchError::Stopped) }
     }
@@ -160,6 +160,8 @@
             if let Err(error) = self.process_buffer(connection) {
                 return error;
             }
+            // Discovery may send lists faster than the engine handles them, and is not read meanwhile.
+            self.context.handle.handled().await;
             if connection.response_complete {
                 // The complete list was received; the watch continues from it.
                 if let Err(error) = connection.send_request(&self.query()).await {
--- a/crates/dispatcher/src/net/socket_io.rs
+++ b/crates/dispatcher/src/net/socket_io.rs
@@ -6,6 +6,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 use super::http::status::Status;
 use super::http::{Head, Start};
@@ -38,7 +39,8 @@
     loop {
         match Head::response(buffer).ok()? {
             Some(head) => match head.start {
-                Start::Response(100..=199) => {}
+                // Other tasks get a turn, also if interim responses follow one another without a pause.
+                Start::Response(100..=199) => yield_now().await,
                 Start::Response(status) => return Some((status, head)),
                 Start::Request { .. } => return None,
             },
--- a/crates/dispatcher/src/net/worker/answer.rs
+++ b/crates/dispatcher/src/net/worker/answer.rs
@@ -5,11 +5,12 @@
 use bytes::{Bytes, BytesMut};
 use serde_json::value::RawValue;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{timeout_at, Instant};
 
 use super::attempt::AttemptGuard;
 use super::protocol::{JobState, ResponseLine, LOAD_HEADER, NOT_STARTED, NOT_STARTED_HEADER};
-use crate::engine::{AttemptStage, Input, Payload};
+use crate::engine::{AttemptStage, Payload};
 use crate::net::http::status::{self, Status};
 use crate::net::http::{Decoder, Head, Lines, Malformed, Piece, MAX_BODY};
 use crate::net::{read_more, read_response_head};
@@ -115,6 +116,8 @@
                     }
                 }
                 Piece::More => {
+                    // A worker may send progress faster than the engine handles it, and is not read meanwhile.
+                    guard.report_progress().await;
                     if !self.read_more().await? {
                         handle_line(&lines.rest(), payload, guard)?;
                         return Err(ResponseError::Disconnected);
@@ -148,8 +151,10 @@
         }
     }
 
-    /// Reads more bytes; returns false at the end of the stream.
+    /// Reads more bytes; returns false at the end of the stream. Other tasks get a turn before each read, also if bytes
+    /// arrive without a pause.
     async fn read_more(&mut self) -> Result<bool, ResponseError> {
+        yield_now().await;
         read_more(self.stream, &mut self.buffer).await.map_err(|_| ResponseError::Disconnected)
     }
 }
@@ -168,10 +173,9 @@
     if let Some(load) = response.load {
         guard.load = guard.pool.parse_load_report(|format| format.parse_json(load.get()));
     }
-    let attempt = guard.attempt;
     match response.state {
-        JobState::Started => guard.pool.handle.send(Input::JobStarted(attempt)),
-        JobState::Running => guard.pool.handle.send(Input::Progress { attempt, done: response.done }),
+        JobState::Started => guard.report_start(),
+        JobState::Running => guard.unreported_progress = Some(response.done),
         JobState::Done => {
             let result = result_bytes(line, response.result).ok_or(ResponseError::InvalidLine)?;
             guard.report(Outcome::Ok, result);
@@ -194,3 +198,7 @@
         None => Some(line.slice_ref(json.as_bytes())),
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/answer.rs"]
+mod tests;
--- a/crates/dispatcher/src/net/worker/attempt.rs
+++ b/crates/dispatcher/src/net/worker/attempt.rs
@@ -39,10 +39,28 @@
     pub(super) stage: AttemptStage,
     /// Latest load report of the worker.
     pub(super) load: Option<LoadReport>,
+    /// True if the start of the job was reported.
+    start_reported: bool,
+    /// Latest progress that was not reported yet: the part of the job that is done.
+    pub(super) unreported_progress: Option<f64>,
     reported: bool,
 }
 
 impl AttemptGuard {
+    /// Returns the guard of an attempt that has not begun.
+    pub(super) fn new(pool: Rc<Pool>, attempt: AttemptId, worker: WorkerId) -> AttemptGuard {
+        AttemptGuard {
+            pool,
+            attempt,
+            worker,
+            stage: AttemptStage::NotConnected,
+            load: None,
+            start_reported: false,
+            unreported_progress: None,
+            reported: false,
+        }
+    }
+
     /// Reports the end of the attempt, unless it was reported before.
     pub(super) fn report(&mut self, outcome: Outcome, result: Bytes) {
         if std::mem::replace(&mut self.reported, true) {
@@ -54,6 +72,21 @@
         self.pool.handle.send(Input::AttemptEnded(end));
     }
 
+    /// Reports that the job started, unless that was reported before.
+    pub(super) fn report_start(&mut self) {
+        if !std::mem::replace(&mut self.start_reported, true) {
+            self.pool.handle.send(Input::JobStarted(self.attempt));
+        }
+    }
+
+    /// Reports the latest progress, if there is any, and waits until the engine has handled it.
+    pub(super) async fn report_progress(&mut self) {
+        if let Some(done) = self.unreported_progress.take() {
+            self.pool.handle.send(Input::Progress { attempt: self.attempt, done });
+            self.pool.handle.handled().await;
+        }
+    }
+
     fn report_without_result(&mut self, outcome: Outcome) {
         self.report(outcome, Bytes::new());
     }
@@ -74,14 +107,7 @@
 pub(super) fn start(pool: &Rc<Pool>, attempt: Attempt) {
     pool.attempts_started.set(pool.attempts_started.get() + 1);
     let id = attempt.id;
-    let guard = AttemptGuard {
-        pool: pool.clone(),
-        attempt: id,
-        worker: attempt.worker,
-        stage: AttemptStage::NotConnected,
-        load: None,
-        reported: false,
-    };
+    let guard = AttemptGuard::new(pool.clone(), id, attempt.worker);
     let worker = pool.workers.borrow().get(&attempt.worker).cloned();
     let task = spawn_local(run_attempt(attempt, worker, guard));
     pool.attempts.borrow_mut().insert(id, task.abort_handle());
