--- a/crates/dispatcher/tests/engine_harness/mod.rs
+++ b/crates/dispatcher/tests/engine_harness/mod.rs
@@ -42,7 +42,7 @@
 }
 
 /// Returns the list entry of a worker that serves.
-pub fn listed(worker: u64) -> ListedEndpoint {
+pub fn serving_endpoint(worker: u64) -> ListedEndpoint {
     let endpoint = Endpoint {
         worker: WorkerId(worker),
         kind: 0,
@@ -95,7 +95,7 @@
         let (sender, commands) = mpsc::unbounded_channel();
         let (handle, inputs) = Handle::channel();
         let clock = Clock::start();
-        let saved_endpoints = workers.iter().copied().map(listed).collect();
+        let saved_endpoints = workers.iter().copied().map(serving_endpoint).collect();
         let mut engine = Engine::new(settings.clone(), 1, saved_endpoints, clock, sender);
         prepare(&mut engine);
         tokio::task::spawn_local(engine.run(inputs));
--- a/crates/dispatcher/tests/engine_job_settings.rs
+++ b/crates/dispatcher/tests/engine_job_settings.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dispatcher::api::{Class, Idempotency, KeyScope, ListScope, Outcome, Settings};
 use dispatcher::engine::{FinalResponse, Input, Micros, Payload, PendingJob};
-use engine_harness::{attempt_ended, listed, run, settings, EngineHarness, HOUR};
+use engine_harness::{attempt_ended, run, serving_endpoint, settings, EngineHarness, HOUR};
 
 const SECOND: Micros = 1_000_000;
 /// Time within which a response or an attempt must come; much longer than a slow machine needs.
@@ -67,7 +67,7 @@
         let mut engine = EngineHarness::start_with(before, &WORKERS, hold);
         let mut pending = engine.submit(HOUR);
         engine.configure(settings_with(Idempotency::Idempotent, 0.0));
-        let endpoints = WORKERS.map(listed).to_vec();
+        let endpoints = WORKERS.map(serving_endpoint).to_vec();
         engine.handle.send(Input::EndpointList { scope: ListScope::Full, endpoints });
         let first = engine.next_attempt().await;
         engine.handle.send(attempt_ended(first, Outcome::Reset, Bytes::new()));
