review: the shared list gives a dispatcher the addresses of another one's machine

Cause: the holder of the list publishes discovery's entries with host_port, which may differ from one dispatcher to the next; a member that relies on the shared list takes them as its own at the next change.

Nothing of the program is changed.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -11,17 +11,20 @@
 use crate::worker::{ended, started, Behavior, Job, Plan, Run, Runs, Worker, TURNED_AWAY};
 use crate::Setup;
 
-const ZONES: [&str; 3] = ["aarhus-dc", "odense-dc", "aalborg-dc"];
-const TENANTS: [&str; 3] = ["havnegade", "skovvej", "moellebakken"];
+pub const ZONES: [&str; 3] = ["aarhus-dc", "odense-dc", "aalborg-dc"];
+pub const TENANTS: [&str; 3] = ["havnegade", "skovvej", "moellebakken"];
 /// Time for which the workers of one cell drop a repeat of a key.
-const KEY_WINDOW: Duration = Duration::from_secs(15);
+pub const KEY_WINDOW: Duration = Duration::from_secs(15);
 
-fn seconds(seconds: f64) -> Duration {
+pub fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
 
 fn configuration(workers: &[Arc<Worker>], profiles: Vec<String>) -> Configuration {
     Configuration {
+        name: "n0".to_owned(),
+        number: 0,
+        dispatchers: 1,
         listen: free_port(),
         agent: start_agent(workers),
         known: list(workers),
@@ -31,7 +34,7 @@
 }
 
 /// Returns the runs by what `name` takes of each, where there is more than one.
-fn repeated(runs: &[Run], name: impl Fn(&Run) -> Option<String>) -> BTreeMap<String, Vec<Run>> {
+pub fn repeated(runs: &[Run], name: impl Fn(&Run) -> Option<String>) -> BTreeMap<String, Vec<Run>> {
     let mut by_name: BTreeMap<String, Vec<Run>> = BTreeMap::new();
     for run in runs {
         if let Some(name) = name(run) {
@@ -42,7 +45,7 @@
     by_name
 }
 
-fn report_repeated(setup: &Setup, repeated: &BTreeMap<String, Vec<Run>>) {
+pub fn report_repeated(setup: &Setup, repeated: &BTreeMap<String, Vec<Run>>) {
     for (name, runs) in repeated {
         let places: Vec<String> =
             runs.iter().map(|run| format!("{} (cell {}) at {:.4}", run.worker, run.cell, run.at)).collect();
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -9,18 +9,38 @@
 mod platform;
 mod random;
 mod record;
+mod shared_list;
 mod worker;
 
 use std::path::PathBuf;
 use std::process::{exit, Command};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
 use record::Record;
 
-/// Id of the dispatcher's process while it runs, else 0.
-pub static KILL_AT_END: AtomicU32 = AtomicU32::new(0);
+/// Ids of the processes that this program started and that have not been ended.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Records a process that was started, here and in a file, from which the script ends it should this program be ended.
+pub fn started(id: u32, work: &std::path::Path) {
+    let mut running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    running.push(id);
+    write_ids(&running, work);
+}
+
+/// Records a process that has ended.
+pub fn ended(id: u32, work: &std::path::Path) {
+    let mut running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    running.retain(|other| *other != id);
+    write_ids(&running, work);
+}
+
+fn write_ids(ids: &[u32], work: &std::path::Path) {
+    let text: Vec<String> = ids.iter().map(u32::to_string).collect();
+    let _ = std::fs::write(work.join("pids"), text.join("\n"));
+}
 
 /// The longest time that a case may take.
 const LONGEST: Duration = Duration::from_secs(110);
@@ -39,8 +59,8 @@
 }
 
 fn end(code: i32) -> ! {
-    let id = KILL_AT_END.load(Ordering::SeqCst);
-    if id != 0 {
+    let running = RUNNING.try_lock().map(|running| running.clone()).unwrap_or_default();
+    for id in running {
         signal("KILL", id);
     }
     exit(code);
@@ -70,6 +90,7 @@
         "6" => cases::second_answer(&setup),
         "7" => cases::key_is_missing(&setup),
         "8" => cases::class_is_dropped(&setup),
+        "9" => shared_list::addresses_of_another(&setup),
         _ => cannot_run("there is no such case"),
     };
     setup.record.say(if broken { "the rule was broken" } else { "the rule held" });
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -1,8 +1,9 @@
 //! The platform's part: discovery's agent, the configuration, and the dispatcher's process by the deploy file.
 
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::thread;
@@ -61,6 +62,11 @@
 /// The parts of a configuration that the cases change; the rest is that of a small deployment.
 #[derive(Clone)]
 pub struct Configuration {
+    pub name: String,
+    /// Number of this dispatcher among all of them.
+    pub number: u32,
+    /// Number of dispatchers.
+    pub dispatchers: u32,
     pub listen: u16,
     pub agent: u16,
     pub known: String,
@@ -74,11 +80,11 @@
         let count = self.profiles.len();
         let same = |value: &str| vec![value; count].join(",");
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"{}","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":64,"sockets":512}},
 "known":{},
 "settings":{{
- "azs":["aarhus-dc","odense-dc","aalborg-dc"],"zone":0,"balancers":1,"slot-no":0,"discovery":"push",
+ "azs":["aarhus-dc","odense-dc","aalborg-dc"],"zone":0,"balancers":{},"slot-no":{},"discovery":"push",
  "family":"jobs","flavors":["gen3","gen2","gen1"],"tier":0,"tiers":["shop-backend"],"weight-kind":"rough",
  "counted-by":"work","resolution-s":0.005,"over-share-worth":0.1,
  "caps":{{"cancel":true,"cpu-us-per-request":0.0,"cpu-us-per-s":1000000,"dial-timeout-s":0.25,"keepalive-s":5.0,
@@ -97,9 +103,12 @@
  "score-parts":{{"whole":0.55,"worst-class":0.05,"worst-tenant":0.25,"worst-window":0.15}}
 }}}}
 "#,
+            self.name,
             self.listen,
             self.agent,
             self.known,
+            self.dispatchers,
+            self.number,
             self.send_cap,
             same("-1"),
             same("0"),
@@ -138,30 +147,33 @@
 pub struct Dispatcher {
     child: Child,
     record: Record,
+    work: PathBuf,
     file: PathBuf,
-    /// File with the id of the process while it runs.
-    pids: PathBuf,
 }
 
 impl Dispatcher {
     /// Starts `run` of the deploy file and waits until `GET /healthz` says yes.
-    pub fn start(record: &Record, work: &std::path::Path, configuration: &Configuration) -> Dispatcher {
-        let file = work.join("config.json");
+    pub fn start(record: &Record, work: &Path, configuration: &Configuration) -> Dispatcher {
+        Dispatcher::start_with(record, work, configuration, None)
+    }
+
+    /// Starts `run` of the deploy file, with this file of local settings if there is one, and waits until `GET /healthz`
+    /// says yes.
+    pub fn start_with(record: &Record, work: &Path, configuration: &Configuration, settings: Option<&Path>) -> Dispatcher {
+        let name = &configuration.name;
+        let file = work.join(format!("{name}.json"));
         write(&file, &configuration.text());
-        let deploy = std::fs::read_to_string("deploy/balancer.toml")
-            .unwrap_or_else(|error| crate::cannot_run(&format!("deploy/balancer.toml: {error}")));
-        let run = deploy
-            .lines()
-            .find_map(|line| line.strip_prefix("run = \""))
-            .and_then(|rest| rest.split('"').next())
-            .unwrap_or_else(|| crate::cannot_run("deploy/balancer.toml has no run"));
-        let log = std::fs::File::create(work.join("dispatcher.log")).unwrap_or_else(|error| crate::cannot_run(&error.to_string()));
-        let temporary = work.join("tmp");
+        let mut run = run_command();
+        if let Some(settings) = settings {
+            run = run.replace("deploy/cairncrank.hcl", &settings.display().to_string());
+        }
+        let log = File::create(work.join(format!("{name}.log"))).unwrap_or_else(|error| crate::cannot_run(&error.to_string()));
+        let temporary = work.join(format!("{name}.tmp"));
         let _ = std::fs::create_dir_all(&temporary);
         let child = Command::new("/bin/sh")
-            .args(["-c", run])
+            .args(["-c", &run])
             .env("BALANCER_CONFIG", &file)
-            .env("BALANCER_NAME", "n0")
+            .env("BALANCER_NAME", name)
             .env("BALANCER_LISTEN", format!("127.0.0.1:{}", configuration.listen))
             .env("BALANCER_DISCOVERY", format!("127.0.0.1:{}", configuration.agent))
             .env_remove("BALANCER_CONSOLE")
@@ -173,16 +185,13 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| crate::cannot_run(&error.to_string()));
-        // The script ends this process should this program be ended itself.
-        let pids = work.join("pids");
-        write(&pids, &child.id().to_string());
-        crate::KILL_AT_END.store(child.id(), std::sync::atomic::Ordering::SeqCst);
-        record.line(&format!("dispatcher started: {run}"));
-        let dispatcher = Dispatcher { child, record: record.clone(), file, pids };
+        crate::started(child.id(), work);
+        record.line(&format!("dispatcher {name} started: {run}"));
+        let dispatcher = Dispatcher { child, record: record.clone(), work: work.to_owned(), file };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if is_ready(configuration.listen) {
-                record.line("dispatcher is ready");
+                record.line(&format!("dispatcher {name} is ready"));
                 return dispatcher;
             }
             thread::sleep(Duration::from_millis(50));
@@ -220,12 +229,19 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        crate::KILL_AT_END.store(0, std::sync::atomic::Ordering::SeqCst);
-        let _ = std::fs::remove_file(&self.pids);
+        crate::ended(self.child.id(), &self.work);
     }
 }
 
-fn write(file: &std::path::Path, text: &str) {
+/// Returns `run` of the deploy file.
+fn run_command() -> String {
+    let deploy = std::fs::read_to_string("deploy/balancer.toml")
+        .unwrap_or_else(|error| crate::cannot_run(&format!("deploy/balancer.toml: {error}")));
+    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
+    run.unwrap_or_else(|| crate::cannot_run("deploy/balancer.toml has no run")).to_owned()
+}
+
+pub fn write(file: &Path, text: &str) {
     if let Err(error) = std::fs::write(file, text) {
         crate::cannot_run(&format!("{}: {error}", file.display()));
     }
