review: end the processes of a case whose script is interrupted

Cause: a shell that waits for a foreground program acts on a signal only once that program has ended.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -9,5 +9,8 @@
     rm -rf "$work"
 }
 trap finish EXIT
-trap 'exit 2' INT TERM HUP
-"$cases" 8 review/8/record.txt "$work" "${1:-1}"
+player=
+trap '[ -z "$player" ] || kill -KILL "$player" 2>/dev/null; exit 2' INT TERM HUP
+"$cases" 8 review/8/record.txt "$work" "${1:-1}" &
+player=$!
+wait "$player"
