Reject a configuration file that lacks a key or has a value out of its range

Cause: each place that read a key had a default for an absent one; an absent scope was the widest.

Change: config/key_table.rs holds each key's requirement and range, and a file is checked against it before it is parsed, at the start and at a reload. A file for a reload must also have each key of the file in force, since an absent optional key changes the settings as silently.

Two tests held the fault and now ask for more: a reload without `discovery` was taken though the file before had the key (now an error; the variable applies where no file had it), and a keyed class without key-scope was one of all workers (now an error, with the scope given the same value is read).

--- a/crates/dispatcher/src/config/mod.rs
+++ b/crates/dispatcher/src/config/mod.rs
@@ -5,6 +5,7 @@
 //! the local settings of `settings_file.rs`, or nothing. In a reload the file's `discovery` takes precedence over its
 //! variable, because the environment of a running process cannot change.
 
+mod key_table;
 mod parser;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 pub use crate::config_error::ConfigError;
 pub use crate::endpoint_list::{parse_endpoint_list, EndpointList};
 pub use crate::names::{ClassInfo, Names};
+pub use key_table::FileKeys;
 
 use crate::config_error::invalid;
 use crate::engine::{ListedEndpoint, Micros};
@@ -68,6 +70,8 @@
     pub saved_list: SavedList,
     /// Cluster that the dispatcher joins, if the local settings name one.
     pub cluster: Option<ClusterSettings>,
+    /// Keys of the platform's file, which a file that replaces it must have as well.
+    pub file_keys: FileKeys,
 }
 
 /// Endpoint list that was saved before the start; empty if none was saved.
@@ -119,10 +123,11 @@
             _ => variable(name),
         });
         let mut new = match from_file {
-            // The variable remains in effect if the file does not set the key.
+            // The variable remains in effect if no file has set the key.
             Err(error) if error.key == DISCOVERY_KEY && error.is_missing() => Config::parse(text, variable)?,
             result => result?,
         };
+        self.file_keys.check_kept_by(&new.file_keys)?;
         self.check_listen_address(&new)?;
         self.check_names(&new)?;
         // Listeners are not moved at run time.
--- a/crates/dispatcher/src/config/parser.rs
+++ b/crates/dispatcher/src/config/parser.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 
+use super::key_table::{check_file, FileKeys};
 use super::{
     Config, SavedList, CONSOLE_VARIABLE, DISCOVERY_KEY, DISCOVERY_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE,
 };
@@ -58,11 +59,8 @@
 ) -> Result<Config, ConfigError> {
     let root: Value = serde_json::from_str(text)
         .or_else(|error| invalid("configuration", format!("is not JSON: {error}")))?;
-    let pairs = match &root["settings"] {
-        all @ Value::Object(_) => SettingsPairs::from_json(all),
-        Value::Null => return invalid("settings", MISSING),
-        _ => return invalid("settings", "expected an object"),
-    };
+    check_file(&root)?;
+    let pairs = SettingsPairs::from_json(&root["settings"]);
     let settings = parse_settings(&pairs)?;
     let names = parse_names(&pairs, &settings)?;
     if settings.zone as usize >= names.zones.len().max(1) {
@@ -90,6 +88,7 @@
         names,
         saved_list,
         cluster: None,
+        file_keys: FileKeys::of(&root),
     })
 }
 
@@ -178,13 +177,7 @@
     let classes = parse_classes(pairs, settings)?;
     let tenants = pairs.names("projects")?;
     let list = |key: &str| pairs.list(key).map(str::to_owned).collect();
-    let names = Names { classes, tenants, zones: list("azs"), kinds: list("flavors") };
-    if names.classes.is_empty() {
-        return invalid("settings.profiles", "expected at least one class of request");
-    }
-    check_all_named("profiles", names.classes.iter().map(|class| class.name.as_str()))?;
-    check_all_named("projects", names.tenants.iter().map(String::as_str))?;
-    Ok(names)
+    Ok(Names { classes, tenants, zones: list("azs"), kinds: list("flavors") })
 }
 
 fn parse_classes(pairs: &SettingsPairs<'_>, settings: &Settings) -> Result<Vec<ClassInfo>, ConfigError> {
@@ -200,11 +193,3 @@
     }
     Ok(classes)
 }
-
-/// Checks that each entry of a list in the settings has a name.
-fn check_all_named<'a>(list: &str, mut names: impl Iterator<Item = &'a str>) -> Result<(), ConfigError> {
-    match names.position(str::is_empty) {
-        Some(position) => invalid(&format!("settings.{list}.{position}.name"), MISSING),
-        None => Ok(()),
-    }
-}
