Know classes, tenants, zones and kinds by their names through a reload

Cause: decisions, banks, running times and the parsed list refer to names by position, so a file was taken only if its lists began with those in force (Config::check_names). The log of the case says so: `settings.profiles: cannot change while the program runs`.

Change: names.rs gives each name one position for the life of the process, and config/positions.rs brings each file into these positions. Dropped classes keep their settings for open jobs and no longer count in means over the classes; queued jobs of a dropped tenant are admitted. Workers with a zone or kind that no file listed keep a position of their own, which a name added later used to take over.

--- a/crates/dispatch-core/src/api/mod.rs
+++ b/crates/dispatch-core/src/api/mod.rs
@@ -14,4 +14,6 @@
 pub use event::{Endpoint, Event, ListScope, Outcome, Request, WorkerState};
 pub use ids::{RequestId, Seconds, WorkerId};
 pub use job_settings::JobSettings;
-pub use settings::{CapacityReservation, Class, Idempotency, KeyScope, LoadReports, Settings, Tenant};
+pub use settings::{
+    CapacityReservation, Class, DroppedPositions, Idempotency, KeyScope, LoadReports, Settings, Tenant,
+};
--- a/crates/dispatch-core/src/api/settings.rs
+++ b/crates/dispatch-core/src/api/settings.rs
@@ -1,5 +1,7 @@
 //! The settings of a dispatcher that affect its decisions.
 
+use std::collections::BTreeSet;
+
 use super::ids::Seconds;
 use crate::load_report::LoadReportFormat;
 
@@ -86,6 +88,16 @@
     pub price: f64,
 }
 
+/// Positions of classes and tenants that earlier settings named and the current ones do not. Only open jobs still refer
+/// to them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DroppedPositions {
+    /// Dropped positions of [`Settings::classes`].
+    pub classes: BTreeSet<u32>,
+    /// Dropped positions of [`Settings::tenants`].
+    pub tenants: BTreeSet<u32>,
+}
+
 /// Settings of a dispatcher, at its start or after a reload. What they say of a job binds it by way of
 /// [`Settings::for_job`].
 #[derive(Clone, Debug)]
@@ -100,6 +112,8 @@
     pub classes: Vec<Class>,
     /// Tenants; empty if all requests share one token bank.
     pub tenants: Vec<Tenant>,
+    /// Classes and tenants that are listed for open jobs only.
+    pub dropped: DroppedPositions,
     /// Whether the dispatcher must request the endpoint list and watch it; otherwise changes arrive without a request.
     pub polls_endpoint_list: bool,
     /// Maximum time between polls while no watch is open, if [`Settings::polls_endpoint_list`] is set; 0 if there
@@ -156,6 +170,7 @@
             zone: 0,
             classes: Vec::new(),
             tenants: Vec::new(),
+            dropped: DroppedPositions::default(),
             polls_endpoint_list: false,
             max_poll_interval: 0.0,
             load_reports: LoadReports::None,
@@ -188,6 +203,12 @@
         self.tenants.iter().map(|tenant| tenant.quota.max(0.0)).sum()
     }
 
+    /// Returns the classes that new jobs may have.
+    pub(crate) fn served_classes(&self) -> impl Iterator<Item = &Class> {
+        let classes = (0..).zip(&self.classes);
+        classes.filter(|(position, _)| !self.dropped.classes.contains(position)).map(|(_, class)| class)
+    }
+
     /// Returns the settings with at least `min_classes` classes, filled up with default classes, and at least one
     /// instance.
     pub(crate) fn normalized(mut self, min_classes: usize) -> Settings {
--- a/crates/dispatch-core/src/policy/mod.rs
+++ b/crates/dispatch-core/src/policy/mod.rs
@@ -73,7 +73,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let our_quota = settings.total_quota() / f64::from(settings.instances);
         Dispatcher {
-            banks: TokenBank::for_tenants(&settings.tenants, &mut rng),
+            banks: TokenBank::for_tenants(&settings, &mut rng),
             rng,
             now: 0.0,
             accrued_at: 0.0,
@@ -126,7 +126,7 @@
 
     fn handle(&mut self, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
-            Event::Settings(settings) => self.on_settings(settings),
+            Event::Settings(settings) => self.on_settings(settings, actions),
             Event::Request { request, settings } => self.on_request(request, settings, actions),
             Event::StreamStarted { request, attempt } | Event::JobStarted { request, attempt } => {
                 self.on_job_started(request, attempt)
@@ -152,17 +152,18 @@
 
     /// Applies new settings. Estimates are kept, the banks get the new shares of their tenants, and open jobs
     /// keep the settings under which they were accepted.
-    fn on_settings(&mut self, settings: &Settings) {
+    fn on_settings(&mut self, settings: &Settings, actions: &mut Vec<Action>) {
         self.accrue_tokens();
         let settings = settings.clone().normalized(self.workload.run_times.len());
-        self.workload.resize(settings.classes.len());
-        token_bank::update_shares(&mut self.banks, &settings.tenants, &mut self.rng);
+        self.workload.configure(&settings);
+        token_bank::update_shares(&mut self.banks, &settings, &mut self.rng);
         self.reserved_workers.configure(settings.capacity_reservation);
         self.fleet.configure(&settings);
         self.settings = settings;
         self.resize_banks();
         self.fleet.rebuild_indexes(self.settings.zone, None);
         self.reserved_workers.assign(&self.fleet.workers);
+        self.release_dropped_tenants(actions);
     }
 
     /// Schedules a timer event after this time; a negative time means at once.
--- a/crates/dispatch-core/src/policy/throttle.rs
+++ b/crates/dispatch-core/src/policy/throttle.rs
@@ -19,7 +19,7 @@
 impl Dispatcher {
     /// Sets the capacities of all banks according to the current rate and the largest job.
     pub(super) fn resize_banks(&mut self) {
-        let objectives = self.settings.classes.iter().map(|class| class.latency_objective);
+        let objectives = self.settings.served_classes().map(|class| class.latency_objective);
         let shortest_objective = objectives.fold(f64::INFINITY, f64::min);
         let largest_job = self.fleet.largest_job;
         for bank in &mut self.banks {
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Admits the queued jobs of dropped tenants, because no more tokens accrue for them.
+    pub(super) fn release_dropped_tenants(&mut self, actions: &mut Vec<Action>) {
+        for tenant in self.settings.dropped.tenants.clone() {
+            let Some(bank) = self.banks.get_mut(tenant as usize) else { continue };
+            for id in bank.take_queued() {
+                self.admit(id, actions);
+            }
+        }
+    }
+
     /// Adds the tokens that have accrued since the last call.
     pub(super) fn accrue_tokens(&mut self) {
         let elapsed = self.now - std::mem::replace(&mut self.accrued_at, self.now);
--- a/crates/dispatch-core/src/settings.rs
+++ b/crates/dispatch-core/src/settings.rs
@@ -21,6 +21,7 @@
         zone: pairs.get("zone", defaults.zone)?,
         classes,
         tenants,
+        dropped: defaults.dropped.clone(),
         polls_endpoint_list: pairs.text("discovery") == "ask",
         max_poll_interval: pairs.non_negative("obligations.ask-within-s", defaults.max_poll_interval)?,
         load_reports: parse_load_reports(pairs),
--- a/crates/dispatch-core/src/token_bank.rs
+++ b/crates/dispatch-core/src/token_bank.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use crate::api::{RequestId, Seconds, Tenant};
+use crate::api::{RequestId, Seconds, Settings};
 
 /// Minimum fraction of a token to wait for.
 const MIN_MISSING_TOKENS: f64 = 0.01;
@@ -37,19 +37,19 @@
 impl TokenBank {
     /// Returns a bank for each tenant, or a single bank if there are no tenants; shares are scaled to sum to one. The
     /// fraction of the first token is random, so that dispatchers do not release jobs in lockstep.
-    pub(crate) fn for_tenants(tenants: &[Tenant], rng: &mut fastrand::Rng) -> Vec<TokenBank> {
-        let total: f64 = tenants.iter().map(|tenant| tenant.share.max(0.0)).sum();
-        let count = tenants.len().max(1);
-        let equal = 1.0 / count as f64;
-        let share = |index: usize| {
-            let tenant = tenants.get(index).filter(|_| total > 0.0);
-            tenant.map_or(equal, |tenant| tenant.share.max(0.0) / total)
-        };
-        (0..count)
-            .map(|index| TokenBank { share: share(index), partial_token: rng.f64(), ..TokenBank::default() })
+    pub(crate) fn for_tenants(settings: &Settings, rng: &mut fastrand::Rng) -> Vec<TokenBank> {
+        scaled_shares(settings)
+            .into_iter()
+            .map(|share| TokenBank { share, partial_token: rng.f64(), ..TokenBank::default() })
             .collect()
     }
 
+    /// Empties the queue, and returns the jobs that were in it.
+    pub(crate) fn take_queued(&mut self) -> VecDeque<RequestId> {
+        self.queued_slots = 0;
+        std::mem::take(&mut self.queued)
+    }
+
     /// Returns the number of tokens that the bank can hold beyond its balance.
     fn headroom(&self) -> i64 {
         self.token_capacity + self.buffer_capacity - self.balance
@@ -142,9 +142,33 @@
     }
 }
 
+/// Returns the share of each tenant's bank, or of the single bank if no tenant is served. Dropped tenants have none.
+fn scaled_shares(settings: &Settings) -> Vec<f64> {
+    let is_served = |index: usize| !settings.dropped.tenants.contains(&(index as u32));
+    let given: Vec<f64> = settings
+        .tenants
+        .iter()
+        .enumerate()
+        .map(|(index, tenant)| if is_served(index) { tenant.share.max(0.0) } else { 0.0 })
+        .collect();
+    let served = (0..given.len()).filter(|index| is_served(*index)).count();
+    if served == 0 {
+        // The first bank is that of all jobs.
+        return (0..given.len().max(1)).map(|index| if index == 0 { 1.0 } else { 0.0 }).collect();
+    }
+    let total: f64 = given.iter().sum();
+    let equal = 1.0 / served as f64;
+    let scaled = |(index, share): (usize, f64)| match total > 0.0 {
+        true => share / total,
+        false if is_served(index) => equal,
+        false => 0.0,
+    };
+    given.into_iter().enumerate().map(scaled).collect()
+}
+
 /// Applies new tenants: existing banks keep their balance and get the new shares.
-pub(crate) fn update_shares(banks: &mut Vec<TokenBank>, tenants: &[Tenant], rng: &mut fastrand::Rng) {
-    for (index, new) in TokenBank::for_tenants(tenants, rng).into_iter().enumerate() {
+pub(crate) fn update_shares(banks: &mut Vec<TokenBank>, settings: &Settings, rng: &mut fastrand::Rng) {
+    for (index, new) in TokenBank::for_tenants(settings, rng).into_iter().enumerate() {
         match banks.get_mut(index) {
             Some(bank) => bank.share = new.share,
             None => banks.push(new),
--- a/crates/dispatch-core/src/workload.rs
+++ b/crates/dispatch-core/src/workload.rs
@@ -1,6 +1,8 @@
 //! Estimates for the jobs that arrive at a dispatcher: running times by class, slots and waits.
 
-use crate::api::Seconds;
+use std::collections::BTreeSet;
+
+use crate::api::{Seconds, Settings};
 use crate::run_time::{RunTimeModel, SlowdownModel, WorkerSlowdowns, CLASS_LEARNING_RATE};
 
 /// Learning rate of the mean wait at workers.
@@ -14,6 +16,8 @@
 pub(crate) struct Workload {
     /// Models of the running time, by class.
     pub run_times: Vec<RunTimeModel>,
+    /// Classes without new jobs, which do not count in means over the classes.
+    dropped_classes: BTreeSet<u32>,
     pub slowdowns: SlowdownModel,
     /// Mean number of slots of a job.
     pub mean_slots: f64,
@@ -25,19 +29,25 @@
     /// Returns initial estimates for this number of classes.
     pub(crate) fn new(classes: usize) -> Workload {
         let run_times = vec![RunTimeModel::default(); classes];
-        Workload { run_times, slowdowns: SlowdownModel::default(), mean_slots: 1.0, mean_wait: 0.0 }
+        let dropped_classes = BTreeSet::new();
+        let slowdowns = SlowdownModel::default();
+        Workload { run_times, dropped_classes, slowdowns, mean_slots: 1.0, mean_wait: 0.0 }
     }
 
-    /// Extends the estimates to this number of classes with initial ones.
-    pub(crate) fn resize(&mut self, classes: usize) {
-        self.run_times.resize(classes, RunTimeModel::default());
+    /// Extends the estimates to the classes of new settings with initial ones.
+    pub(crate) fn configure(&mut self, settings: &Settings) {
+        self.run_times.resize(settings.classes.len(), RunTimeModel::default());
+        self.dropped_classes.clone_from(&settings.dropped.classes);
     }
 
     /// Returns the length of a window of the admission rate: about a mean running time, because the effect of a change
     /// of the rate becomes visible only after that time.
     pub(crate) fn rate_window(&self) -> Seconds {
-        let sum = self.run_times.iter().map(|run_times| run_times.mean).sum::<f64>();
-        (sum / self.run_times.len() as f64).clamp(MIN_RATE_WINDOW, MAX_RATE_WINDOW)
+        let classes = (0..).zip(&self.run_times);
+        let served = classes.filter(|(class, _)| !self.dropped_classes.contains(class));
+        let sum = served.map(|(_, run_times)| run_times.mean).sum::<f64>();
+        let count = self.run_times.len() - self.dropped_classes.len();
+        (sum / count as f64).clamp(MIN_RATE_WINDOW, MAX_RATE_WINDOW)
     }
 
     /// Returns the mean work of a job, in slot-seconds.
--- a/crates/dispatch-core/tests/throttle.rs
+++ b/crates/dispatch-core/tests/throttle.rs
@@ -124,3 +124,24 @@
         "at most four tokens are missing at 30 per second, but the retry-after is {wait} s"
     );
 }
+
+/// Guards against queued jobs of a tenant that a reload drops waiting in vain for tokens, which accrue for the other
+/// tenants only.
+#[test]
+fn queued_jobs_of_a_dropped_tenant_are_admitted() {
+    let tenants = vec![Tenant { share: 0.5, quota: 20.0 }, Tenant { share: 0.5, quota: 20.0 }];
+    let before = Settings { tenants, ..plain(40.0) };
+    let mut driver = Driver::new(before.clone(), 1, &fleet(1));
+    let sends =
+        |driver: &Driver| driver.requests.values().filter(|request| !request.sends.is_empty()).count();
+    let rejected = |driver: &Driver| driver.requests.values().filter(|request| request.responses > 0).count();
+    for id in 0..60 {
+        driver.request(Request { tenant: 1, timeout: 50.0, ..request(id) });
+    }
+    let queued = 60 - sends(&driver) - rejected(&driver);
+    assert!(queued > 0, "some jobs must wait for tokens");
+    let dropped = DroppedPositions { tenants: [1].into(), ..DroppedPositions::default() };
+    driver.reload(&Settings { dropped, ..before });
+    driver.advance(0.01);
+    assert_eq!(sends(&driver) + rejected(&driver), 60);
+}
--- a/crates/dispatcher/src/config/mod.rs
+++ b/crates/dispatcher/src/config/mod.rs
@@ -7,12 +7,13 @@
 
 mod key_table;
 mod parser;
+mod positions;
 
 use std::net::SocketAddr;
 
 pub use crate::config_error::ConfigError;
 pub use crate::endpoint_list::{parse_endpoint_list, EndpointList};
-pub use crate::names::{ClassInfo, Names};
+pub use crate::names::{ClassInfo, NameTable, Names};
 pub use key_table::FileKeys;
 
 use crate::config_error::invalid;
@@ -108,8 +109,8 @@
         Ok(config)
     }
 
-    /// Parses the text of a file that replaces this configuration at run time. The current names must keep their
-    /// positions, because the decision module refers to them by position for open jobs. New names may follow them.
+    /// Parses the text of a file that replaces this configuration at run time. Names may be added, dropped and reordered:
+    /// each keeps its position, by which the decision module refers to it for open jobs.
     ///
     /// # Errors
     /// Returns a [`ConfigError`] for the first key that is missing or invalid, or that cannot change at run time.
@@ -118,18 +119,19 @@
         text: &str,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Config, ConfigError> {
-        let from_file = Config::parse(text, |name| match name {
+        let without_discovery = |name: &str| match name {
             DISCOVERY_VARIABLE => None,
             _ => variable(name),
-        });
-        let mut new = match from_file {
+        };
+        let mut new = match parser::parse_config(text, without_discovery, Some(self)) {
             // The variable remains in effect if no file has set the key.
-            Err(error) if error.key == DISCOVERY_KEY && error.is_missing() => Config::parse(text, variable)?,
+            Err(error) if error.key == DISCOVERY_KEY && error.is_missing() => {
+                parser::parse_config(text, &variable, Some(self))?
+            }
             result => result?,
         };
         self.file_keys.check_kept_by(&new.file_keys)?;
         self.check_listen_address(&new)?;
-        self.check_names(&new)?;
         // Listeners are not moved at run time.
         new.listen = self.listen;
         new.console = self.console;
@@ -141,7 +143,7 @@
     /// # Errors
     /// Returns a [`ConfigError`] for the first key that is missing or invalid.
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        parser::parse_config(text, variable)
+        parser::parse_config(text, variable, None)
     }
 
     fn apply_local_settings(&mut self, local: LocalSettings) {
@@ -155,30 +157,6 @@
         }
         invalid("listen", format!("cannot change while the program runs: it listens on {}", self.listen))
     }
-
-    /// Checks that each list of names begins with its current names.
-    fn check_names(&self, new: &Config) -> Result<(), ConfigError> {
-        let current = &self.names;
-        let new = &new.names;
-        for (key, extends_current) in [
-            ("settings.profiles", class_names(new).starts_with(&class_names(current))),
-            ("settings.projects", new.tenants.starts_with(&current.tenants)),
-            ("settings.azs", new.zones.starts_with(&current.zones)),
-            ("settings.flavors", new.kinds.starts_with(&current.kinds)),
-        ] {
-            if !extends_current {
-                return invalid(
-                    key,
-                    "cannot change while the program runs, except for names added at the end",
-                );
-            }
-        }
-        Ok(())
-    }
-}
-
-fn class_names(names: &Names) -> Vec<&str> {
-    names.classes.iter().map(|class| class.name.as_str()).collect()
 }
 
 fn read_file(variable: &impl Fn(&str) -> Option<String>) -> Result<String, ConfigError> {
--- a/crates/dispatcher/src/config/parser.rs
+++ b/crates/dispatcher/src/config/parser.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 
 use super::key_table::{check_file, FileKeys};
+use super::positions::FileNames;
 use super::{
     Config, SavedList, CONSOLE_VARIABLE, DISCOVERY_KEY, DISCOVERY_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE,
 };
@@ -12,6 +13,7 @@
 use crate::endpoint_list::parse_endpoint_list;
 use crate::engine::{micros, Micros};
 use crate::names::{ClassInfo, Names};
+
 use dispatch_core::api::{Idempotency, Settings};
 use dispatch_core::hashing::worker_id;
 use dispatch_core::settings::parse_settings;
@@ -52,20 +54,22 @@
     }
 }
 
-/// Parses the text of a configuration file; `variable` looks up an environment variable.
+/// Parses the text of a configuration file; `variable` looks up an environment variable. Names keep the positions that
+/// they have in the configuration in force, if there is one.
 pub(super) fn parse_config(
     text: &str,
     variable: impl Fn(&str) -> Option<String>,
+    in_force: Option<&Config>,
 ) -> Result<Config, ConfigError> {
     let root: Value = serde_json::from_str(text)
         .or_else(|error| invalid("configuration", format!("is not JSON: {error}")))?;
     check_file(&root)?;
     let pairs = SettingsPairs::from_json(&root["settings"]);
-    let settings = parse_settings(&pairs)?;
-    let names = parse_names(&pairs, &settings)?;
-    if settings.zone as usize >= names.zones.len().max(1) {
-        return invalid("settings.zone", format!("there is no zone number {}", settings.zone));
-    }
+    let file_settings = parse_settings(&pairs)?;
+    let file_names = parse_names(&pairs, &file_settings)?;
+    let names = file_names.positioned(in_force.map(|config| &config.names))?;
+    let settings =
+        file_names.positioned_settings(file_settings, &names, in_force.map(|config| &config.settings))?;
     let sockets = parse_socket_limit(&root["limits"]["sockets"])? - RESERVED_SOCKETS;
     let client_sockets = sockets * CLIENT_SOCKETS_PERCENT / 100;
     let saved_list = parse_saved_list(&root["known"], &names)?;
@@ -83,7 +87,7 @@
         idle_timeout: micros(keepalive * KEEPALIVE_FRACTION),
         drain_grace: micros(pairs.non_negative("obligations.drain-grace-s", DEFAULT_DRAIN_GRACE_S)?),
         list_is_pushed: pairs.text("discovery") == "push",
-        longest_timeout: longest_timeout(&names),
+        longest_timeout: longest_timeout(&file_names.classes),
         settings,
         names,
         saved_list,
@@ -168,16 +172,19 @@
     Ok(micros(seconds.max(MIN_DIAL_TIMEOUT_S)))
 }
 
-fn longest_timeout(names: &Names) -> Micros {
-    let timeouts = names.classes.iter().map(|class| class.timeout);
+fn longest_timeout(classes: &[ClassInfo]) -> Micros {
+    let timeouts = classes.iter().map(|class| class.timeout);
     timeouts.max().unwrap_or(micros(DEFAULT_TIMEOUT_S))
 }
 
-fn parse_names(pairs: &SettingsPairs<'_>, settings: &Settings) -> Result<Names, ConfigError> {
-    let classes = parse_classes(pairs, settings)?;
-    let tenants = pairs.names("projects")?;
+fn parse_names(pairs: &SettingsPairs<'_>, settings: &Settings) -> Result<FileNames, ConfigError> {
     let list = |key: &str| pairs.list(key).map(str::to_owned).collect();
-    Ok(Names { classes, tenants, zones: list("azs"), kinds: list("flavors") })
+    Ok(FileNames {
+        classes: parse_classes(pairs, settings)?,
+        tenants: pairs.names("projects")?,
+        zones: list("azs"),
+        kinds: list("flavors"),
+    })
 }
 
 fn parse_classes(pairs: &SettingsPairs<'_>, settings: &Settings) -> Result<Vec<ClassInfo>, ConfigError> {
--- a/crates/dispatcher/src/endpoint_list.rs
+++ b/crates/dispatcher/src/endpoint_list.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use rustc_hash::FxHashMap;
 use serde_json::{json, Value};
 
 use crate::config_error::{invalid, ConfigError};
@@ -93,21 +92,6 @@
     }
 }
 
-/// Positions of names in one of the lists of names in the settings.
-struct NamePositions<'a>(FxHashMap<&'a str, u32>);
-
-impl<'a> NamePositions<'a> {
-    fn new(names: &'a [String]) -> NamePositions<'a> {
-        NamePositions(names.iter().map(String::as_str).zip(0..).collect())
-    }
-
-    /// Returns the position of a name. Missing and unlisted names share the position after the last one.
-    fn of(&self, name: Option<&str>) -> u32 {
-        let unlisted = self.0.len() as u32;
-        name.and_then(|name| self.0.get(name).copied()).unwrap_or(unlisted)
-    }
-}
-
 /// Returns a list without entries, which means that nothing changed up to this revision.
 pub(crate) fn unchanged_list(revision: u64) -> Value {
     json!({ (keys::REVISION): revision })
@@ -127,21 +111,14 @@
     };
     let is_complete = list[keys::COMPLETE].as_bool().unwrap_or(false);
     let scope = if is_complete { ListScope::Full } else { ListScope::Incremental };
-    let zones = NamePositions::new(&names.zones);
-    let kinds = NamePositions::new(&names.kinds);
     let mut endpoints = Vec::with_capacity(entries.len());
     for (index, entry) in entries.iter().enumerate() {
-        endpoints.push(parse_entry(index, entry, &zones, &kinds)?);
+        endpoints.push(parse_entry(index, entry, names)?);
     }
     Ok(EndpointList { revision, scope, endpoints })
 }
 
-fn parse_entry(
-    index: usize,
-    json: &Value,
-    zones: &NamePositions<'_>,
-    kinds: &NamePositions<'_>,
-) -> Result<ListedEndpoint, ConfigError> {
+fn parse_entry(index: usize, json: &Value, names: &Names) -> Result<ListedEndpoint, ConfigError> {
     let key_path = |key: &str| format!("{}.{index}.{key}", keys::ENDPOINTS);
     let entry = EndpointEntry::new(json);
     let Some(name) = entry.name() else {
@@ -164,8 +141,8 @@
     }
     let endpoint = Endpoint {
         worker: worker_id(name),
-        kind: kinds.of(entry.kind()),
-        zone: zones.of(entry.zone()),
+        kind: names.kinds.position_or_unlisted(entry.kind()),
+        zone: names.zones.position_or_unlisted(entry.zone()),
         cell: entry.cell(),
         started_at: entry.started_at(),
         state,
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -140,7 +140,7 @@
     println!(
         "{}: {} classes served on {}, discovery at {}, {} workers in the saved list",
         config.name,
-        config.names.classes.len(),
+        config.names.class_names.len(),
         config.listen,
         config.discovery,
         config.saved_list.endpoints.len()
--- a/crates/dispatcher/src/net/client/request.rs
+++ b/crates/dispatcher/src/net/client/request.rs
@@ -111,7 +111,7 @@
 /// Returns the index of the class that the first segment of a path names.
 fn parse_class(path: &str, names: &Names) -> Result<usize, RequestError> {
     let name = path[1..].split('/').next().unwrap_or("");
-    let position = names.classes.iter().position(|class| class.name == name);
+    let position = names.class_names.current_position(name).map(|position| position as usize);
     position.ok_or(RequestError::UnknownClass)
 }
 
@@ -141,8 +141,7 @@
         return Ok(0);
     }
     let tenant = head.header_text(TENANT_HEADER).ok_or(RequestError::MissingTenant)?;
-    let position = names.tenants.iter().position(|name| name == tenant);
-    position.map(|position| position as u32).ok_or(RequestError::UnknownTenant)
+    names.tenants.current_position(tenant).ok_or(RequestError::UnknownTenant)
 }
 
 /// Returns the timeout of a request; the timeout of its class is the default and the maximum.
--- a/crates/dispatcher/src/net/cluster/health_checks.rs
+++ b/crates/dispatcher/src/net/cluster/health_checks.rs
@@ -163,7 +163,7 @@
     /// Updates the scheduler of a set with the workers of the set that accept new work.
     fn update_workers(&self, set: u16, term: &mut Term, now: Micros) {
         let config = self.pool.config.borrow();
-        let zone_name = |index: u32| config.names.zones.get(index as usize).map_or("", String::as_str);
+        let zone_name = |position: u32| config.names.zones.name(position);
         let workers = self.pool.workers.borrow();
         let in_set = workers.iter().filter(|(id, worker)| {
             worker.accepts_work.get() && self.config.set_of_worker(id.0, worker.zone.get()) == set
--- a/crates/dispatcher/src/net/cluster/membership.rs
+++ b/crates/dispatcher/src/net/cluster/membership.rs
@@ -58,7 +58,7 @@
 
 /// Returns the name of this dispatcher's zone; empty if the settings list no zones.
 pub(super) fn zone_name(config: &Config) -> String {
-    config.names.zones.get(config.settings.zone as usize).cloned().unwrap_or_default()
+    config.names.zones.name(config.settings.zone).to_owned()
 }
 
 fn eligible_leases(settings: &ClusterSettings, health_checks: Option<&HealthCheckConfig>) -> Vec<LeaseId> {
