--- a/crates/dispatcher/src/engine/inputs.rs
+++ b/crates/dispatcher/src/engine/inputs.rs
@@ -43,7 +43,7 @@
         if open.conclude().is_some() {
             self.notify_policy(Event::ClientDisconnected(request));
         }
-        self.requests.remove_if_finished(request);
+        self.remove_if_finished(request);
     }
 
     fn handle_job_started(&mut self, attempt: AttemptId) {
--- a/crates/dispatcher/src/engine/request_table.rs
+++ b/crates/dispatcher/src/engine/request_table.rs
@@ -25,6 +25,8 @@
 pub(super) struct Attempt {
     /// Time at which the attempt was passed to the network layer.
     pub(super) sent_at: Micros,
+    /// Time for which the timer of the attempt is set; none if only the deadline of the request ends it.
+    pub(super) timeout_at: Option<Micros>,
     pub(super) in_flight: bool,
     /// True until an outcome proves that the attempt never ran.
     pub(super) may_have_run: bool,
@@ -107,15 +109,11 @@
         attempt.is_some_and(|attempt| attempt.in_flight)
     }
 
-    /// Removes a request once it is concluded and none of its attempts is in flight.
-    pub(super) fn remove_if_finished(&mut self, id: RequestId) {
-        let is_finished =
-            self.get(id).is_some_and(|open| open.is_concluded() && !open.has_attempt_in_flight());
-        if !is_finished {
-            return;
-        }
-        if let Some(open) = self.requests.remove(&id) {
-            self.client_ids.remove(&open.payload.id);
-        }
+    /// Removes and returns a request once it is concluded and none of its attempts is in flight.
+    pub(super) fn take_finished(&mut self, id: RequestId) -> Option<OpenRequest> {
+        self.get(id).filter(|open| open.is_concluded() && !open.has_attempt_in_flight())?;
+        let open = self.requests.remove(&id)?;
+        self.client_ids.remove(&open.payload.id);
+        Some(open)
     }
 }
--- a/crates/dispatcher/src/engine/requests.rs
+++ b/crates/dispatcher/src/engine/requests.rs
@@ -44,6 +44,17 @@
         }
     }
 
+    /// Removes a request that is finished, with its timers.
+    pub(super) fn remove_if_finished(&mut self, id: RequestId) {
+        let Some(open) = self.requests.take_finished(id) else { return };
+        self.timers.cancel(open.deadline, Timer::Deadline(id));
+        for (number, attempt) in (0..).zip(&open.attempts) {
+            if let Some(timeout_at) = attempt.timeout_at {
+                self.timers.cancel(timeout_at, Timer::Attempt(AttemptId { request: id, number }));
+            }
+        }
+    }
+
     /// Passes the requests that wait for the first endpoint list to the decision module, and stops holding new ones.
     pub(super) fn release_awaiting_requests(&mut self) {
         for request in self.awaiting_initial_list.take().unwrap_or_default() {
@@ -61,7 +72,10 @@
         let Some(open) = self.requests.get_mut(request) else { return };
         let attempt = AttemptId { request, number: open.attempts.len() as u32 };
         let first_sent_at = open.first_sent_that_may_have_run();
-        open.attempts.push(Attempt { sent_at: self.now, in_flight: true, may_have_run: true });
+        // A timeout of 0 means none.
+        let timeout = timeout.filter(|timeout| *timeout != 0.0);
+        let timeout_at = timeout.map(|timeout| self.now + micros(timeout)).filter(|at| *at < open.deadline);
+        open.attempts.push(Attempt { sent_at: self.now, timeout_at, in_flight: true, may_have_run: true });
         let may_send = !open.is_concluded()
             && self.now < open.deadline
             && open.attempts.len() <= open.settings.max_attempts();
@@ -69,10 +83,7 @@
             self.abandoned_attempts.push_back(AttemptEnd::without_result(attempt, Outcome::NotSent));
             return;
         }
-        // A timeout of 0 means none.
-        let timeout = timeout.filter(|timeout| *timeout != 0.0);
-        let timeout_at = timeout.map_or(Micros::MAX, |timeout| self.now + micros(timeout));
-        if timeout_at < open.deadline {
+        if let Some(timeout_at) = timeout_at {
             self.timers.set(timeout_at, Timer::Attempt(attempt));
         }
         let retry_window = micros(open.settings.retry_window());
@@ -81,7 +92,7 @@
             attempt,
             worker,
             payload: open.payload.clone(),
-            deadline: timeout_at.min(open.deadline),
+            deadline: timeout_at.unwrap_or(open.deadline),
             not_after,
         });
     }
@@ -117,7 +128,7 @@
         }
         let complete = open.is_concluded();
         self.notify_policy(Event::AttemptEnded { request, attempt: number, outcome, complete, load });
-        self.requests.remove_if_finished(request);
+        self.remove_if_finished(request);
     }
 
     /// Answers a request in place of the decision module, because the request is overdue or the process ends.
@@ -133,13 +144,13 @@
         for number in 0..self.requests.attempts(request) {
             self.abandon_attempt(AttemptId { request, number }, Outcome::Cancelled);
         }
-        self.requests.remove_if_finished(request);
+        self.remove_if_finished(request);
     }
 
     pub(super) fn answer_request(&mut self, request: RequestId, response: FinalResponse) {
         if let Some(open) = self.requests.get_mut(request) {
             open.answer(response);
         }
-        self.requests.remove_if_finished(request);
+        self.remove_if_finished(request);
     }
 }
--- a/crates/dispatcher/src/engine/timers.rs
+++ b/crates/dispatcher/src/engine/timers.rs
@@ -1,7 +1,6 @@
 //! The engine's timers.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeSet;
 
 use super::clock::Micros;
 use super::messages::AttemptId;
@@ -22,24 +21,30 @@
     InitialListTimeout,
 }
 
-/// The timers that are set, the earliest first.
+/// The timers that are set, the earliest first. A timer of a request is cancelled once the request ends, so that their
+/// number follows that of the open requests.
 #[derive(Debug, Default)]
-pub(super) struct Timers(BinaryHeap<Reverse<(Micros, Timer)>>);
+pub(super) struct Timers(BTreeSet<(Micros, Timer)>);
 
 impl Timers {
     /// Sets a timer for this time.
     pub(super) fn set(&mut self, at: Micros, timer: Timer) {
-        self.0.push(Reverse((at, timer)));
+        self.0.insert((at, timer));
+    }
+
+    /// Cancels a timer that was set for this time, unless it has fired.
+    pub(super) fn cancel(&mut self, at: Micros, timer: Timer) {
+        self.0.remove(&(at, timer));
     }
 
     /// Returns the time of the next timer.
     pub(super) fn next_at(&self) -> Option<Micros> {
-        self.0.peek().map(|Reverse((at, _))| *at)
+        self.0.first().map(|(at, _)| *at)
     }
 
     /// Removes and returns the next timer that is due by now.
     pub(super) fn take_due(&mut self, now: Micros) -> Option<Timer> {
         self.next_at().filter(|at| *at <= now)?;
-        self.0.pop().map(|Reverse((_, timer))| timer)
+        self.0.pop_first().map(|(_, timer)| timer)
     }
 }
--- /dev/null
+++ b/crates/dispatcher/tests/peers/main.rs
@@ -0,0 +1,5 @@
+//! What peers can do to a dispatcher process: hold its memory, flood it, and leave.
+
+mod floods;
+mod memory;
+mod rig;
--- a/crates/dispatcher/tests/memory.rs
+++ b/crates/dispatcher/tests/peers/memory.rs
@@ -6,12 +6,10 @@
 //! The failure that this guards against: with a limit of 32 MB the process was killed, because requests, open jobs and
 //! responses were held as they came, and no limit was read.
 
-mod rig;
-
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rig::{job_head, Client, Limits, Program, Worker, WorkerMode, QUICK_CLASS};
+use crate::rig::{job_head, Client, Limits, Program, Worker, WorkerMode, QUICK_CLASS};
 
 /// Length of a large body, just below the maximum.
 const BODY_BYTES: usize = 65_500;
--- a/crates/dispatcher/tests/rig/mod.rs
+++ b/crates/dispatcher/tests/peers/rig.rs
@@ -55,6 +55,11 @@
         Worker::start_as(QUICK_KIND, WorkerMode::Serve(Duration::from_millis(1)))
     }
 
+    /// Starts a worker that serves each job at once.
+    pub fn start_serving() -> Worker {
+        Worker::start(WorkerMode::Serve(Duration::ZERO))
+    }
+
     fn start_as(kind: &'static str, mode: WorkerMode) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -261,7 +266,6 @@
 #[derive(Debug)]
 pub struct Response {
     pub status: u16,
-    pub body_length: usize,
 }
 
 /// A client connection.
@@ -306,8 +310,8 @@
     let head = std::str::from_utf8(&bytes[..head_length]).ok()?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "))?;
-    let body_length = length.parse().ok()?;
-    (bytes.len() >= head_length + body_length).then_some(Response { status, body_length })
+    let body_length: usize = length.parse().ok()?;
+    (bytes.len() >= head_length + body_length).then_some(Response { status })
 }
 
 /// Returns the head of a job with a body of this length.
