Give other connections a turn after each request, and parse a head once per line

What callers saw: operators report that other clients get their answers late while one client sends small or unsound requests at full speed on one connection.

Cause: a connection went on with the next buffered request until the runtime took the turn from it after 128 socket operations, about 64 requests. Each piece of an incomplete head also had the whole head parsed again.

Change: Connection::yield_turn after each request while another one is buffered; HeadProgress parses a head again only after a line end, for clients and workers alike.

No bound of a test separates the two: the floods test asks for 500 ms.

--- a/crates/dispatcher/src/net/client/connection.rs
+++ b/crates/dispatcher/src/net/client/connection.rs
@@ -6,6 +6,7 @@
 use bytes::{Buf, Bytes};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use super::connection_limit::FirstRequestWait;
@@ -15,7 +16,7 @@
 use super::wait::{evicted, idle_close, read_closed, request_overdue, REQUEST_TIMEOUT};
 use super::ClientContext;
 use crate::engine::{FinalResponse, InvalidRequest, Job};
-use crate::net::http::{Head, Malformed, Start, MAX_BODY};
+use crate::net::http::{Head, HeadProgress, Malformed, Start, MAX_BODY};
 use crate::net::memory::MemoryExhausted;
 use crate::net::metrics::{InFlight, Outcome};
 use crate::net::read_buffer::{ReadBuffer, ReadError};
@@ -115,13 +116,20 @@
     async fn serve_requests(&mut self) -> ConnectionEnd {
         loop {
             match self.serve_request().await {
-                Ok(true) => {}
+                Ok(true) => self.yield_turn().await,
                 Ok(false) => return ConnectionEnd::Close,
                 Err(end) => return end,
             }
         }
     }
 
+    /// Gives other connections a turn after each request, also if the client has sent the next one already.
+    async fn yield_turn(&self) {
+        if !self.buffer.is_empty() {
+            yield_now().await;
+        }
+    }
+
     async fn close(&mut self, end: ConnectionEnd) {
         match end {
             ConnectionEnd::Lost | ConnectionEnd::Evicted => return,
@@ -244,9 +252,12 @@
         if !self.awaiting_first_request {
             self.request_started_at = Instant::now();
         }
+        let mut progress = HeadProgress::default();
         loop {
-            if let Some(head) = Head::request(&mut self.buffer)? {
-                return Ok(head);
+            if progress.needs_parsing(&self.buffer) {
+                if let Some(head) = Head::request(&mut self.buffer)? {
+                    return Ok(head);
+                }
             }
             let is_idle = self.buffer.is_empty();
             match self.next_head_event().await {
@@ -258,7 +269,7 @@
                 HeadEvent::Evicted => return Err(ConnectionEnd::Evicted),
                 // A request that has arrived before this check is served. One that arrives after it is read and dropped
                 // while the connection lingers, and the client sends it again.
-                HeadEvent::IdleClose(_) if has_unread_bytes(&self.stream) => tokio::task::yield_now().await,
+                HeadEvent::IdleClose(_) if has_unread_bytes(&self.stream) => yield_now().await,
                 HeadEvent::IdleClose(end) => return Err(end),
             }
         }
--- a/crates/dispatcher/src/net/http/head.rs
+++ b/crates/dispatcher/src/net/http/head.rs
@@ -135,6 +135,23 @@
     }
 }
 
+/// How far an incomplete head was parsed. A head is parsed again only after a line end, however small the pieces are in
+/// which it arrives.
+#[derive(Debug, Default)]
+pub struct HeadProgress {
+    parsed: usize,
+}
+
+impl HeadProgress {
+    /// Returns whether the bytes that arrived since the last call may complete the head, or make it invalid.
+    pub fn needs_parsing(&mut self, buffer: &[u8]) -> bool {
+        let is_first = self.parsed == 0;
+        let has_line_end = buffer.get(self.parsed..).is_none_or(|new| new.contains(&b'\n'));
+        self.parsed = buffer.len();
+        is_first || has_line_end || buffer.len() > MAX_HEAD
+    }
+}
+
 /// Returns bytes as text, if they are valid UTF-8.
 pub fn text(bytes: &Bytes) -> Option<&str> {
     std::str::from_utf8(bytes).ok()
--- a/crates/dispatcher/src/net/http/mod.rs
+++ b/crates/dispatcher/src/net/http/mod.rs
@@ -8,7 +8,7 @@
 pub mod status;
 
 pub use body::{Decoder, Piece};
-pub use head::{text, Framing, Head, Header, Start};
+pub use head::{text, Framing, Head, HeadProgress, Header, Start};
 pub use lines::Lines;
 
 use status::Status;
--- a/crates/dispatcher/src/net/socket_io.rs
+++ b/crates/dispatcher/src/net/socket_io.rs
@@ -9,7 +9,7 @@
 use tokio::task::yield_now;
 
 use super::http::status::Status;
-use super::http::{Head, Start};
+use super::http::{Head, HeadProgress, Start};
 use super::memory::{Reservation, FREE_BYTES};
 
 /// Capacity that is reserved in a buffer for each read, in bytes.
@@ -67,8 +67,10 @@
     buffer: &mut BytesMut,
     memory: &mut ResponseMemory,
 ) -> Option<(Status, Head)> {
+    let mut progress = HeadProgress::default();
     loop {
-        match Head::response(buffer).ok()? {
+        let head = if progress.needs_parsing(buffer) { Head::response(buffer).ok()? } else { None };
+        match head {
             Some(head) => match head.start {
                 // Other tasks get a turn, also if interim responses follow one another without a pause.
                 Start::Response(100..=199) => yield_now().await,
@@ -80,8 +82,10 @@
                 if !read_response_bytes(stream, buffer, held, memory).await.ok()? {
                     return None;
                 }
+                continue;
             }
         }
+        progress = HeadProgress::default();
     }
 }
 
