Remember ids that must not run twice after their client has left, and across an upgrade

Cause: only the ids of open requests were known. A client that leaves ends its request while the worker may still run it, and processes on one socket knew nothing of each other's ids.

On an inherited socket net/id_journal.rs shares the ids in two files beside the socket's other state, written before the attempt and read before a job is opened.

--- a/crates/dispatch-core/src/api/job_settings.rs
+++ b/crates/dispatch-core/src/api/job_settings.rs
@@ -60,6 +60,20 @@
         }
     }
 
+    /// Whether the job may run any number of times, at any worker and at any time.
+    pub fn may_always_repeat(&self) -> bool {
+        self.class.idempotency == Idempotency::Idempotent
+    }
+
+    /// Returns the time after an attempt that may have run for which [`JobSettings::allows_client_retry`] holds.
+    pub fn client_retry_window(&self) -> Seconds {
+        if self.allows_client_retry(0.0) {
+            self.retry_window()
+        } else {
+            0.0
+        }
+    }
+
     /// Whether the client may retry the job when this time has passed since an attempt that may have run. The client's
     /// retry may reach any worker.
     pub fn allows_client_retry(&self, after: Seconds) -> bool {
--- a/crates/dispatcher/src/config/mod.rs
+++ b/crates/dispatcher/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod positions;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 pub use crate::config_error::ConfigError;
 pub use crate::endpoint_list::{parse_endpoint_list, EndpointList};
@@ -73,6 +74,8 @@
     pub saved_list: SavedList,
     /// Cluster that the dispatcher joins, if the local settings name one.
     pub cluster: Option<ClusterSettings>,
+    /// Path of the journal of sent ids, if other processes may serve on the same socket.
+    pub id_journal: Option<PathBuf>,
     /// Keys of the platform's file, which a file that replaces it must have as well.
     pub file_keys: FileKeys,
 }
@@ -137,6 +140,7 @@
         // Listeners are not moved at run time.
         new.listen = self.listen;
         new.console = self.console;
+        new.id_journal.clone_from(&self.id_journal);
         Ok(new)
     }
 
--- a/crates/dispatcher/src/config/parser.rs
+++ b/crates/dispatcher/src/config/parser.rs
@@ -96,6 +96,7 @@
         names,
         saved_list,
         cluster: None,
+        id_journal: None,
         file_keys: FileKeys::of(&root),
     })
 }
--- a/crates/dispatcher/src/engine/event_loop.rs
+++ b/crates/dispatcher/src/engine/event_loop.rs
@@ -9,6 +9,7 @@
 
 use super::clock::{seconds, Clock, Micros};
 use super::messages::{AttemptEnd, AttemptId, Command, Input, ListedEndpoint};
+use super::recent_ids::{RecentIds, SharedIds};
 use super::request_table::RequestTable;
 use super::timers::{Timer, Timers};
 use dispatch_core::api::{Action, Event, ListScope, Outcome, Request, RequestId, Settings};
@@ -28,6 +29,7 @@
     /// Time of the current turn.
     pub(super) now: Micros,
     pub(super) requests: RequestTable,
+    pub(super) recent_ids: RecentIds,
     pub(super) timers: Timers,
     pub(super) actions: Vec<Action>,
     /// Ends of attempts that the engine caused and has not yet reported to the decision module.
@@ -59,6 +61,7 @@
             clock,
             now: clock.now(),
             requests: RequestTable::default(),
+            recent_ids: RecentIds::default(),
             timers: Timers::default(),
             actions: Vec::new(),
             abandoned_attempts: VecDeque::new(),
@@ -80,6 +83,16 @@
         self.timers.set(self.now + timeout, Timer::InitialListTimeout);
     }
 
+    /// Sets the maximum number of ids that are remembered after their jobs have ended.
+    pub fn set_recent_id_capacity(&mut self, capacity: usize) {
+        self.recent_ids.set_capacity(capacity);
+    }
+
+    /// Exchanges the ids of jobs that may have run with other processes on the same socket.
+    pub fn share_ids(&mut self, shared: Box<dyn SharedIds>) {
+        self.recent_ids.share(shared);
+    }
+
     /// Returns the mean work of a job in slot-seconds, kept current while the engine runs.
     pub fn mean_job_work(&mut self) -> Rc<Cell<f64>> {
         let mean_job_work = self.mean_job_work.get_or_insert_with(Rc::default);
--- a/crates/dispatcher/src/engine/messages.rs
+++ b/crates/dispatcher/src/engine/messages.rs
@@ -66,6 +66,8 @@
 pub enum InvalidRequest {
     /// Another open request has the same id.
     DuplicateId,
+    /// A request with the same id may have run, and must not run again.
+    RepeatedId,
     /// A worker answered that it cannot use the request.
     Unusable,
 }
--- a/crates/dispatcher/src/engine/mod.rs
+++ b/crates/dispatcher/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod handle;
 mod inputs;
 mod messages;
+mod recent_ids;
 mod request_table;
 mod requests;
 mod timers;
@@ -22,3 +23,4 @@
     AttemptEnd, AttemptId, AttemptStage, Command, FinalResponse, Input, InvalidRequest, Job, ListedEndpoint,
     Payload,
 };
+pub use recent_ids::{SentId, SharedIds};
--- a/crates/dispatcher/src/engine/request_table.rs
+++ b/crates/dispatcher/src/engine/request_table.rs
@@ -75,6 +75,11 @@
         id.is_empty() || self.client_ids.insert(id.clone())
     }
 
+    /// Releases a claimed id without a request.
+    pub(super) fn release_client_id(&mut self, id: &Bytes) {
+        self.client_ids.remove(id);
+    }
+
     pub(super) fn insert(&mut self, id: RequestId, request: OpenRequest) {
         self.requests.insert(id, request);
     }
--- a/crates/dispatcher/src/engine/requests.rs
+++ b/crates/dispatcher/src/engine/requests.rs
@@ -27,6 +27,12 @@
             let _ = response_sender.send(FinalResponse::Invalid(InvalidRequest::DuplicateId));
             return;
         }
+        // The client may have left, or sent the request to a process before this one, and the job may have run.
+        if self.recent_ids.must_not_run(&job.payload.id, &job.settings, self.now) {
+            self.requests.release_client_id(&job.payload.id);
+            let _ = response_sender.send(FinalResponse::Invalid(InvalidRequest::RepeatedId));
+            return;
+        }
         let deadline = self.now + job.timeout;
         let open = OpenRequest {
             deadline,
@@ -48,6 +54,9 @@
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
         let Some(open) = self.requests.take_finished(id) else { return };
         self.timers.cancel(open.deadline, Timer::Deadline(id));
+        if open.first_sent_that_may_have_run().is_none() {
+            self.recent_ids.forget(&open.payload.id, self.now);
+        }
         for (number, attempt) in (0..).zip(&open.attempts) {
             if let Some(timeout_at) = attempt.timeout_at {
                 self.timers.cancel(timeout_at, Timer::Attempt(AttemptId { request: id, number }));
@@ -86,6 +95,9 @@
         if let Some(timeout_at) = timeout_at {
             self.timers.set(timeout_at, Timer::Attempt(attempt));
         }
+        if attempt.number == 0 {
+            self.recent_ids.record_send(&open.payload.id, &open.settings, self.now);
+        }
         let retry_window = micros(open.settings.retry_window());
         let not_after = first_sent_at.map_or(Micros::MAX, |sent_at| sent_at.saturating_add(retry_window));
         let _ = self.commands.send(Command::Attempt {
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -4,6 +4,7 @@
 
 use dispatcher::config::{Config, ConfigError, CONFIG_VARIABLE};
 use dispatcher::log;
+use dispatcher::net::id_journal::IdJournal;
 use dispatcher::net::socket_activation::InheritedSocketError;
 use dispatcher::net::{self, reload, shutdown, socket_activation};
 use dispatcher::settings_file;
@@ -148,7 +149,7 @@
 }
 
 fn serve(
-    config: Config,
+    mut config: Config,
     inherited: Option<std::net::TcpListener>,
     variable: impl Fn(&str) -> Option<String> + 'static,
 ) -> ExitCode {
@@ -157,7 +158,11 @@
         let phase = shutdown::listen_for_termination(config.longest_timeout)?;
         let reload = reload::listen_for_reload(move |old| old.reload(&variable))?;
         let listener = match inherited {
-            Some(listener) => tokio::net::TcpListener::from_std(listener)?,
+            Some(listener) => {
+                let socket = listener.local_addr()?;
+                config.id_journal = Some(IdJournal::path(&std::env::temp_dir(), socket));
+                tokio::net::TcpListener::from_std(listener)?
+            }
             None => tokio::net::TcpListener::bind(config.listen).await?,
         };
         net::serve(net::ServeParameters { config, listener, phase, reload }).await
--- a/crates/dispatcher/src/net/client/connection.rs
+++ b/crates/dispatcher/src/net/client/connection.rs
@@ -315,6 +315,7 @@
         FinalResponse::Rejected { .. } | FinalResponse::Invalid(InvalidRequest::DuplicateId) => {
             Outcome::Rejected
         }
-        FinalResponse::Failed | FinalResponse::Invalid(InvalidRequest::Unusable) => Outcome::Failed,
+        FinalResponse::Failed
+        | FinalResponse::Invalid(InvalidRequest::Unusable | InvalidRequest::RepeatedId) => Outcome::Failed,
     }
 }
--- a/crates/dispatcher/src/net/client/protocol.rs
+++ b/crates/dispatcher/src/net/client/protocol.rs
@@ -72,6 +72,8 @@
 pub(super) const REJECTED_BODY: &[u8] = b"try again later\n";
 /// Body of the response to a request with the id of another open request.
 pub(super) const DUPLICATE_ID_BODY: &[u8] = b"a request of this id is open";
+/// Body of the response to a request with the id of an earlier one that may have run.
+pub(super) const REPEATED_ID_BODY: &[u8] = b"a request of this id may have run";
 /// Body of the response to a request that no worker can use.
 pub(super) const UNUSABLE_BODY: &[u8] = b"no worker can use this request";
 /// Body of the response to a job that failed.
--- a/crates/dispatcher/src/net/client/response.rs
+++ b/crates/dispatcher/src/net/client/response.rs
@@ -5,7 +5,7 @@
 use bytes::buf::Chain;
 use bytes::{Buf, Bytes};
 
-use super::protocol::{DUPLICATE_ID_BODY, FAILED_BODY, REJECTED_BODY, UNUSABLE_BODY};
+use super::protocol::{DUPLICATE_ID_BODY, FAILED_BODY, REJECTED_BODY, REPEATED_ID_BODY, UNUSABLE_BODY};
 use super::request_error::RequestError;
 use crate::engine::{micros, FinalResponse, InvalidRequest};
 use crate::net::http::status::{self, reason, Status};
@@ -59,6 +59,9 @@
             FinalResponse::Invalid(InvalidRequest::DuplicateId) => {
                 Response::new(status::CONFLICT, Bytes::from_static(DUPLICATE_ID_BODY))
             }
+            FinalResponse::Invalid(InvalidRequest::RepeatedId) => {
+                Response::new(status::CONFLICT, Bytes::from_static(REPEATED_ID_BODY))
+            }
             FinalResponse::Invalid(InvalidRequest::Unusable) => {
                 Response::new(status::BAD_REQUEST, Bytes::from_static(UNUSABLE_BODY))
             }
--- a/crates/dispatcher/src/net/mod.rs
+++ b/crates/dispatcher/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod console;
 pub mod discovery;
 pub mod http;
+pub mod id_journal;
 pub mod json_framing;
 mod memory;
 pub mod metrics;
--- a/crates/dispatcher/tests/engine_job_settings.rs
+++ b/crates/dispatcher/tests/engine_job_settings.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dispatcher::api::{Class, Idempotency, KeyScope, ListScope, Outcome, Settings};
-use dispatcher::engine::{FinalResponse, Input, Micros, Payload, PendingJob};
+use dispatcher::engine::{FinalResponse, Input, InvalidRequest, Micros, Payload, PendingJob};
 use engine_harness::{attempt_ended, run, serving_endpoint, settings, EngineHarness, HOUR};
 
 const SECOND: Micros = 1_000_000;
@@ -89,3 +89,37 @@
         assert_eq!(response(&mut pending).await, FinalResponse::Failed);
     });
 }
+
+/// Guards against a second run of a job whose id comes again after its end, and against the rejection of one that may run
+/// again: because nothing ran, because its class is idempotent, or because all workers drop repeats.
+#[test]
+fn an_id_runs_again_only_where_the_job_may() {
+    let with_key = Idempotency::WithKey;
+    let cases = [
+        (Idempotency::NotIdempotent, Outcome::Ok, false),
+        (Idempotency::NotIdempotent, Outcome::Reset, false),
+        (Idempotency::NotIdempotent, Outcome::Overloaded, true),
+        (with_key(KeyScope::Cell), Outcome::Ok, false),
+        (with_key(KeyScope::All), Outcome::Ok, true),
+        (Idempotency::Idempotent, Outcome::Ok, true),
+    ];
+    for (idempotency, outcome, may_run_again) in cases {
+        run(async {
+            let class = Class { idempotency, key_window: 15.0, latency_objective: 20.0, ..Class::default() };
+            let settings = Settings { classes: vec![class], max_attempts: 1, ..settings(1000.0) };
+            let mut engine = EngineHarness::start_with(settings, &[7], |_| {});
+            let mut first = engine.submit_with_id("a1");
+            let attempt = engine.next_attempt().await;
+            engine.handle.send(attempt_ended(attempt, outcome, Bytes::new()));
+            first.final_response().await;
+            let mut again = engine.submit_with_id("a1");
+            let response = tokio::select! {
+                response = again.final_response() => Some(response),
+                _ = engine.next_attempt() => None,
+            };
+            let repeated = FinalResponse::Invalid(InvalidRequest::RepeatedId);
+            let expected = if may_run_again { None } else { Some(repeated) };
+            assert_eq!(response, expected, "{idempotency:?}, {outcome:?}");
+        });
+    }
+}
--- a/crates/dispatcher/tests/peers/rig.rs
+++ b/crates/dispatcher/tests/peers/rig.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -159,6 +160,11 @@
     }
 }
 
+/// Returns the folder for temporary files of the processes on a socket.
+fn shared_folder(socket: SocketAddr) -> PathBuf {
+    std::env::temp_dir().join(format!("rig-{}-{}", std::process::id(), socket.port()))
+}
+
 /// The program as a process of its own.
 pub struct Program {
     pub address: SocketAddr,
@@ -169,10 +175,17 @@
 
 impl Program {
     pub fn start(limits: Limits, workers: &[Worker]) -> Program {
-        Program::start_with(limits, workers, |_| {})
+        let program = Program::spawn(limits, workers, None);
+        program.wait_until_ready();
+        program
     }
 
-    pub fn start_with(limits: Limits, workers: &[Worker], change: impl FnOnce(&mut Value)) -> Program {
+    /// Starts a process on a listening socket that other processes may use as well. It may not be ready yet.
+    pub fn start_on(listener: &TcpListener, limits: Limits, workers: &[Worker]) -> Program {
+        Program::spawn(limits, workers, Some(listener))
+    }
+
+    fn spawn(limits: Limits, workers: &[Worker], listener: Option<&TcpListener>) -> Program {
         let mut config: Value =
             serde_json::from_str(include_str!("../../../../examples/config.json")).expect("an example");
         let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
@@ -201,26 +214,34 @@
                        "flavor": worker.kind, "cell": index, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
             })
             .collect();
-        change(&mut config);
+        if let Some(listener) = listener {
+            config["listen"] = json!(listener.local_addr().expect("an address").to_string());
+        }
         let address = config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
         let file = std::env::temp_dir().join(format!("rig-{}-{}.json", std::process::id(), free.port()));
         fs::write(&file, config.to_string()).expect("a file");
-        let child = Command::new(env!("CARGO_BIN_EXE_dispatcher"))
-            .arg("--config")
-            .arg(&file)
-            .env_remove("BALANCER_LISTEN")
-            .env_remove("BALANCER_DISCOVERY")
-            .env_remove("BALANCER_NAME")
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program runs");
-        let program = Program { address, child, file, config };
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dispatcher"));
+        command.arg("--config").arg(&file).env_remove("BALANCER_ACCEPT_FD").stderr(Stdio::null());
+        for variable in ["LISTEN", "DISCOVERY", "NAME", "CONSOLE"] {
+            command.env_remove(format!("BALANCER_{variable}"));
+        }
+        if let Some(listener) = listener {
+            let inherited = OwnedFd::from(listener.try_clone().expect("a socket"));
+            let folder = shared_folder(address);
+            fs::create_dir_all(&folder).expect("a folder");
+            command.stdin(Stdio::from(inherited)).env("BALANCER_ACCEPT_FD", "0").env("TMPDIR", folder);
+        }
+        let child = command.spawn().expect("the program runs");
+        Program { address, child, file, config }
+    }
+
+    /// Waits until a process on the socket is ready.
+    pub fn wait_until_ready(&self) {
         let started_at = Instant::now();
-        while !program.is_ready() {
+        while !self.is_ready() {
             assert!(started_at.elapsed() < START_TIMEOUT, "not ready");
             thread::sleep(Duration::from_millis(20));
         }
-        program
     }
 
     fn is_ready(&self) -> bool {
@@ -259,6 +280,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = fs::remove_file(&self.file);
+        let _ = fs::remove_dir_all(shared_folder(self.address));
     }
 }
 
