--- a/crates/dispatcher/src/net/memory.rs
+++ b/crates/dispatcher/src/net/memory.rs
@@ -19,6 +19,8 @@
 /// Share of the memory limit for what peers send, free bytes included. The rest is for the program, its tasks and
 /// estimates, and for fragmentation.
 const PEER_SHARE_PERCENT: usize = 60;
+/// Processes on an inherited socket that one limit holds for during an upgrade.
+const PROCESSES_OF_AN_UPGRADE: usize = 2;
 /// Share of the reservable memory for requests; responses get the rest, so that requests that are held until they are
 /// answered cannot keep their own responses from being read.
 const REQUEST_SHARE_PERCENT: usize = 62;
@@ -68,7 +70,8 @@
 impl PoolSizes {
     fn new(config: &Config) -> PoolSizes {
         let descriptors = config.client_sockets + config.worker_sockets;
-        let for_peers = config.memory_limit / 100 * PEER_SHARE_PERCENT;
+        let processes = if config.id_journal.is_some() { PROCESSES_OF_AN_UPGRADE } else { 1 };
+        let for_peers = config.memory_limit / 100 * PEER_SHARE_PERCENT / processes;
         let reservable = for_peers.saturating_sub(descriptors * FREE_BYTES_PER_DESCRIPTOR);
         let requests = reservable / 100 * REQUEST_SHARE_PERCENT;
         let units = |bytes: usize| bytes.max(MIN_POOL_BYTES) / UNIT_BYTES;
--- a/crates/dispatcher/tests/peers/memory.rs
+++ b/crates/dispatcher/tests/peers/memory.rs
@@ -6,6 +6,7 @@
 //! The failure that this guards against: with a limit of 32 MB the process was killed, because requests, open jobs and
 //! responses were held as they came, and no limit was read.
 
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -192,3 +193,35 @@
 fn a_large_process_stays_within_its_memory() {
     play_all(Limits { memory_mb: 192, descriptors: 1_024 });
 }
+
+/// Guards against two processes of an upgrade that together exceed the limit, which holds for both as one, while each has
+/// a crowd, the settings change and the old process ends.
+#[test]
+fn both_processes_of_an_upgrade_stay_within_one_limit() {
+    let limits = Limits { memory_mb: 32, descriptors: 256 };
+    let mut workers: Vec<Worker> = (0..4).map(|_| Worker::start(Holding::Mixed.worker_mode())).collect();
+    workers.push(Worker::start_quick());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let clients = limits.clients() * CROWD_PERCENT / 100;
+    let mut old = Program::start_on(&listener, limits, &workers);
+    old.wait_until_ready();
+    let mut first: Vec<Client> = (0..clients).map(|_| old.connect()).collect();
+    send_slowly(&mut first, Holding::Mixed);
+    let new = Program::start_on(&listener, limits, &workers);
+    // A process that is stopped accepts no connection, so that the new one gets the second crowd.
+    old.signal("-STOP");
+    new.wait_until_ready();
+    let mut second: Vec<Client> = (0..clients).map(|_| new.connect()).collect();
+    old.signal("-CONT");
+    send_slowly(&mut second, Holding::Mixed);
+    old.reload(|config| config["settings"]["caps"]["send-cap"] = 3.into());
+    let old_peak_kb = old.peak_memory_kb();
+    old.signal("-TERM");
+    for client in first.iter_mut().chain(&mut second) {
+        // Reads an answer, or the end of the connection.
+        let _ = client.response();
+    }
+    let peaks_kb = [old_peak_kb, new.peak_memory_kb()];
+    eprintln!("peaks of the processes of an upgrade: {peaks_kb:?} kB");
+    assert!(peaks_kb.iter().sum::<u64>() < limits.memory_mb * 1_000, "peaks {peaks_kb:?} kB");
+}
