Time a shutdown by the settings in force, not by those of the start

Cause: listen_for_termination got the longest timeout once, at the start; the process kept connections for 2 s while the platform ended it after 1.7 s. The record shows jobs that came 1.1 to 1.3 s after SIGTERM.

Change: the phases watch the longest timeout in force, and a reload during the shutdown can only shorten them.

--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -10,6 +10,7 @@
 use dispatcher::settings_file;
 use lexopt::prelude::{Long, Short, Value};
 use lexopt::ValueExt as _;
+use tokio::sync::watch;
 use tracing_subscriber::filter::Targets;
 
 const USAGE: &str = "\
@@ -155,8 +156,13 @@
 ) -> ExitCode {
     let run = async {
         // Must come first: without a handler, a signal during the start would kill the process.
-        let phase = shutdown::listen_for_termination(config.longest_timeout)?;
-        let reload = reload::listen_for_reload(move |old| old.reload(&variable))?;
+        let (timeout_in_force, longest_timeout) = watch::channel(config.longest_timeout);
+        let phase = shutdown::listen_for_termination(longest_timeout)?;
+        let reload = reload::listen_for_reload(move |old| {
+            let new = old.reload(&variable)?;
+            timeout_in_force.send_replace(new.longest_timeout);
+            Ok(new)
+        })?;
         let listener = match inherited {
             Some(listener) => {
                 let socket = listener.local_addr()?;
