Let a connection rest after a response that names no job, so that a second one shows

Cause: a response with a status other than 200 names no job, and its connection was used again at once.

Change: such a connection rests for 50 ms; a second response shows as unread bytes by then, and the connection is closed. Rejections are believed as before.

--- a/crates/dispatcher/src/net/worker/answer.rs
+++ b/crates/dispatcher/src/net/worker/answer.rs
@@ -9,6 +9,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::attempt::AttemptGuard;
+use super::pool::ResponseIdentity;
 use super::protocol::{JobState, ResponseLine, LOAD_HEADER, NOT_STARTED, NOT_STARTED_HEADER};
 use crate::engine::{AttemptStage, Payload};
 use crate::net::http::status::{self, Status};
@@ -26,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionState {
     /// The connection can be used for another request.
-    Reusable,
+    Reusable(ResponseIdentity),
     /// The worker closes the connection, or sent bytes after the response.
     Closing,
 }
@@ -78,7 +79,7 @@
     reader.read_lines(payload, guard).await?;
     reader.skip_rest().await?;
     if head.keep_alive && reader.buffer.is_empty() {
-        Ok(ConnectionState::Reusable)
+        Ok(ConnectionState::Reusable(ResponseIdentity::of_status(status)))
     } else {
         Ok(ConnectionState::Closing)
     }
--- a/crates/dispatcher/src/net/worker/attempt.rs
+++ b/crates/dispatcher/src/net/worker/attempt.rs
@@ -151,8 +151,8 @@
         pool.close_idle(&worker);
         guard.report_without_result(Outcome::StaleConnection);
     }
-    if matches!(response, Ok(ConnectionState::Reusable)) {
-        pool.return_connection(&worker, connection);
+    if let Ok(ConnectionState::Reusable(identity)) = response {
+        pool.return_connection(&worker, connection, identity);
     }
 }
 
--- a/crates/dispatcher/src/net/worker/connection.rs
+++ b/crates/dispatcher/src/net/worker/connection.rs
@@ -40,6 +40,8 @@
 pub(super) struct IdleConnection {
     pub(super) stream: TcpStream,
     pub(super) idle_since: Micros,
+    /// Time from which on the connection can be used again.
+    pub(super) usable_from: Micros,
 }
 
 impl IdleConnection {
--- a/crates/dispatcher/src/net/worker/health_check.rs
+++ b/crates/dispatcher/src/net/worker/health_check.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::connection::{connect, reuse_or_connect, ConnectError};
-use super::pool::{Pool, Worker};
+use super::pool::{Pool, ResponseIdentity, Worker};
 use super::protocol::{CLOSE_HEADER_FIELD, HEALTH_PATH, LOAD_PATH};
 use crate::engine::Input;
 use crate::net::http::status::{self, Status};
@@ -90,7 +90,7 @@
     let response = exchange(pool, &mut connection.stream, &worker, path, "").await?;
     let load = if reports_load { parse_load(pool, &response.body) } else { None };
     if response.reusable {
-        pool.return_connection(&worker, connection);
+        pool.return_connection(&worker, connection, ResponseIdentity::of_status(response.status));
     }
     Some(HealthCheckResult { healthy: response.status == status::OK, load })
 }
--- a/crates/dispatcher/src/net/worker/pool.rs
+++ b/crates/dispatcher/src/net/worker/pool.rs
@@ -9,12 +9,16 @@
 
 use super::connection::{Connection, ConnectionGuard, IdleConnection};
 use crate::engine::{AttemptId, Clock, Handle, ListedEndpoint, Micros};
+use crate::net::http::status::{self, Status};
 use crate::net::memory::MemoryAccount;
 use crate::net::metrics::Metrics;
 use crate::net::ConfigReceiver;
 use dispatch_core::api::{ListScope, LoadReport, WorkerId, WorkerState};
 use dispatch_core::load_report::{LoadReportFormat, ParsedLoadReport};
 
+/// Time after a response within which a worker may send it a second time.
+const SECOND_RESPONSE_TIME: Micros = 50_000;
+
 /// A worker of the endpoint list.
 #[derive(Default)]
 pub(crate) struct Worker {
@@ -32,7 +36,35 @@
     idle: RefCell<Vec<IdleConnection>>,
 }
 
+/// Whether a response can be told from one that the worker sends a second time, some milliseconds late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseIdentity {
+    /// The response named its request.
+    Named,
+    /// Nothing ties the response to its request. A second one would be taken for the response to the next request.
+    Unnamed,
+}
+
+impl ResponseIdentity {
+    /// Each line of a job's response with status 200 names the job, and what names none is no such line. A response with
+    /// another status names nothing.
+    pub(super) fn of_status(status: Status) -> ResponseIdentity {
+        if status == status::OK {
+            ResponseIdentity::Named
+        } else {
+            ResponseIdentity::Unnamed
+        }
+    }
+}
+
 impl Worker {
+    /// Removes and returns the most recently used idle connection that has rested long enough.
+    fn take_rested(&self, now: Micros) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let rested = idle.iter().rposition(|connection| connection.usable_from <= now)?;
+        Some(idle.remove(rested))
+    }
+
     /// Returns the time at which the connection that has been idle longest became idle; `None` without idle
     /// connections.
     fn longest_idle_since(&self) -> Option<Micros> {
@@ -163,7 +195,7 @@
         let now = self.clock.now();
         let idle_timeout = self.config.borrow().idle_timeout;
         loop {
-            let idle = worker.idle.borrow_mut().pop()?;
+            let idle = worker.take_rested(now)?;
             self.open_connections.set(self.open_connections.get() - 1);
             // If the worker has closed the connection, a request written to it is reset and counts as a job that may
             // have run.
@@ -174,11 +206,20 @@
         }
     }
 
-    /// Returns a connection to the pool, unless the worker takes no more work.
-    pub(super) fn return_connection(&self, worker: &Worker, connection: Connection) {
+    /// Returns a connection to the pool, unless the worker takes no more work. After a response without a name, the
+    /// connection rests until a second one would have arrived, which then shows as unsolicited bytes.
+    pub(super) fn return_connection(
+        &self,
+        worker: &Worker,
+        connection: Connection,
+        response: ResponseIdentity,
+    ) {
         let Connection { stream, guard, .. } = connection;
         if worker.accepts_work.get() {
-            worker.idle.borrow_mut().push(IdleConnection { stream, idle_since: self.clock.now() });
+            let idle_since = self.clock.now();
+            let rest = if response == ResponseIdentity::Unnamed { SECOND_RESPONSE_TIME } else { 0 };
+            let usable_from = idle_since + rest;
+            worker.idle.borrow_mut().push(IdleConnection { stream, idle_since, usable_from });
             self.open_connections.set(self.open_connections.get() + 1);
         }
         drop(guard);
