Move the end of a client connection and the disconnect to modules of their own; plainer names

Change without an effect on what the program does, but for one: `settings.zone` may be absent at the start again (the first zone), as before the key table; at a reload it has to stay.

`Handle::handled` is `wait_until_handled`, and names with "held", "room" and "turn" say what they mean.

--- a/crates/dispatch-core/src/token_bank.rs
+++ b/crates/dispatch-core/src/token_bank.rs
@@ -158,12 +158,10 @@
     }
     let total: f64 = given.iter().sum();
     let equal = 1.0 / served as f64;
-    let scaled = |(index, share): (usize, f64)| match total > 0.0 {
-        true => share / total,
-        false if is_served(index) => equal,
-        false => 0.0,
-    };
-    given.into_iter().enumerate().map(scaled).collect()
+    if total > 0.0 {
+        return given.into_iter().map(|share| share / total).collect();
+    }
+    (0..given.len()).map(|index| if is_served(index) { equal } else { 0.0 }).collect()
 }
 
 /// Applies new tenants: existing banks keep their balance and get the new shares.
--- a/crates/dispatcher/src/config/key_table.rs
+++ b/crates/dispatcher/src/config/key_table.rs
@@ -85,7 +85,7 @@
     optional("settings.flavors", Range::Texts),
     required("settings.balancers", Range::Whole(1)),
     required("settings.slot-no", Range::Whole(0)),
-    required("settings.zone", Range::Whole(0)),
+    optional("settings.zone", Range::Whole(0)),
     required("settings.discovery", Range::Text),
     required("settings.resolution-s", Range::NonNegative),
     required("settings.caps.send-cap", Range::Whole(1)),
@@ -285,7 +285,7 @@
     ///
     /// # Errors
     /// Returns a [`ConfigError`] for the first key that is missing.
-    pub(super) fn check_kept_by(&self, new: &FileKeys) -> Result<(), ConfigError> {
+    pub(super) fn check_contained_in(&self, new: &FileKeys) -> Result<(), ConfigError> {
         let is_in_empty_list = |path: &str| {
             let list = path.split_once(".*.").map(|(list, _)| list);
             list.is_some_and(|list| new.empty_lists.contains(list))
--- a/crates/dispatcher/src/config/mod.rs
+++ b/crates/dispatcher/src/config/mod.rs
@@ -135,7 +135,7 @@
             }
             result => result?,
         };
-        self.file_keys.check_kept_by(&new.file_keys)?;
+        self.file_keys.check_contained_in(&new.file_keys)?;
         self.check_listen_address(&new)?;
         // Listeners are not moved at run time.
         new.listen = self.listen;
--- a/crates/dispatcher/src/engine/handle.rs
+++ b/crates/dispatcher/src/engine/handle.rs
@@ -19,7 +19,7 @@
     /// Creates the input queue. It has no limit of its own, so that a drop guard can always report an end. Its length is
     /// limited by what is open: a request adds its submission and its disconnect, and an attempt its start and its end.
     /// A peer that may add more, with progress reports or endpoint lists, is read on only once the engine has handled
-    /// what it sent before ([`Handle::handled`]).
+    /// what it sent before ([`Handle::wait_until_handled`]).
     pub fn channel() -> (Handle, mpsc::UnboundedReceiver<Input>) {
         let (inputs, queue) = mpsc::unbounded_channel();
         (Handle { inputs, next_id: Rc::new(Cell::new(1)) }, queue)
@@ -31,7 +31,7 @@
     }
 
     /// Waits until the engine has handled all inputs that were sent before, or has ended.
-    pub async fn handled(&self) {
+    pub async fn wait_until_handled(&self) {
         let (sender, reached) = oneshot::channel();
         self.send(Input::Barrier(sender));
         // Nothing is sent: the receiver is woken when the sender is dropped.
--- a/crates/dispatcher/src/net/client/body.rs
+++ b/crates/dispatcher/src/net/client/body.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 
-use super::connection::{Connection, ConnectionEnd};
+use super::connection::Connection;
+use super::connection_end::ConnectionEnd;
 use super::protocol::{CONTINUE_RESPONSE, EXPECT_CONTINUE, EXPECT_HEADER};
 use crate::net::http::{Decoder, Framing, Head, Malformed, Piece, MAX_BODY};
 use crate::net::read_buffer::BodyBuffer;
--- a/crates/dispatcher/src/net/client/connection.rs
+++ b/crates/dispatcher/src/net/client/connection.rs
@@ -9,15 +9,16 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
+use super::connection_end::ConnectionEnd;
 use super::connection_limit::FirstRequestWait;
+use super::disconnect::disconnected;
 use super::request::{parse_request, ClientRequest};
 use super::request_error::RequestError;
 use super::response::Response;
-use super::wait::{evicted, idle_close, read_closed, request_overdue, REQUEST_TIMEOUT};
+use super::wait::{evicted, idle_close, request_overdue, REQUEST_TIMEOUT};
 use super::ClientContext;
 use crate::engine::{FinalResponse, InvalidRequest, Job};
-use crate::net::http::{Head, HeadProgress, Malformed, Start, MAX_BODY};
-use crate::net::memory::MemoryExhausted;
+use crate::net::http::{Head, HeadProgress, Start, MAX_BODY};
 use crate::net::metrics::{InFlight, Outcome};
 use crate::net::read_buffer::{ReadBuffer, ReadError};
 use crate::net::shutdown::ShutdownPhase;
@@ -34,39 +35,6 @@
 /// Retry-After of requests that are rejected without a decision, because their connection was accepted near the limit.
 const NEAR_LIMIT_RETRY_AFTER: Seconds = 1.0;
 
-/// Reason for which a connection ends.
-pub(super) enum ConnectionEnd {
-    /// Regular end after a response or between requests.
-    Close,
-    /// The client disconnected, or the connection failed.
-    Lost,
-    /// Closed unread, before its first request, in favor of another connection.
-    Evicted,
-    /// Closed after the response to an invalid request.
-    Error(RequestError),
-}
-
-impl From<MemoryExhausted> for ConnectionEnd {
-    fn from(_: MemoryExhausted) -> Self {
-        ConnectionEnd::Error(RequestError::MemoryExhausted)
-    }
-}
-
-impl From<ReadError> for ConnectionEnd {
-    fn from(error: ReadError) -> Self {
-        match error {
-            ReadError::Memory(exhausted) => exhausted.into(),
-            ReadError::Socket(_) => ConnectionEnd::Lost,
-        }
-    }
-}
-
-impl From<Malformed> for ConnectionEnd {
-    fn from(malformed: Malformed) -> Self {
-        ConnectionEnd::Error(malformed.into())
-    }
-}
-
 /// Event in the wait for the head of a request.
 enum HeadEvent {
     /// A read returned: true with bytes, false at the end of the stream.
@@ -116,7 +84,7 @@
     async fn serve_requests(&mut self) -> ConnectionEnd {
         loop {
             match self.serve_request().await {
-                Ok(true) => self.yield_turn().await,
+                Ok(true) => self.yield_to_other_connections().await,
                 Ok(false) => return ConnectionEnd::Close,
                 Err(end) => return end,
             }
@@ -124,7 +92,7 @@
     }
 
     /// Gives other connections a turn after each request, also if the client has sent the next one already.
-    async fn yield_turn(&self) {
+    async fn yield_to_other_connections(&self) {
         if !self.buffer.is_empty() {
             yield_now().await;
         }
@@ -225,25 +193,10 @@
     async fn await_response(&mut self, job: Job) -> Result<FinalResponse, ConnectionEnd> {
         let _in_flight = InFlight::new(&self.context.metrics);
         let mut pending = self.context.handle.submit(job);
-        loop {
-            let read_ahead = async {
-                if self.buffer.has_free_room() {
-                    return self.buffer.read_more(&mut self.stream).await;
-                }
-                read_closed(&self.stream).await;
-                Ok(false)
-            };
-            tokio::select! {
-                biased;
-                response = pending.final_response() => return Ok(response),
-                read = read_ahead => match read {
-                    Ok(true) => {}
-                    // The socket does not show whether the client has disconnected or only closed its sending
-                    // direction. It counts as disconnected, but receives a complete response if it still reads.
-                    Ok(false) => return Err(ConnectionEnd::Error(RequestError::ClientDisconnected)),
-                    Err(_) => return Err(ConnectionEnd::Lost),
-                },
-            }
+        tokio::select! {
+            biased;
+            response = pending.final_response() => Ok(response),
+            end = disconnected(&mut self.stream, &mut self.buffer) => Err(end),
         }
     }
 
--- a/crates/dispatcher/src/net/client/mod.rs
+++ b/crates/dispatcher/src/net/client/mod.rs
@@ -3,7 +3,9 @@
 mod acceptor;
 mod body;
 mod connection;
+mod connection_end;
 mod connection_limit;
+mod disconnect;
 mod protocol;
 mod request;
 mod request_error;
@@ -86,7 +88,7 @@
         && mode == Mode::Active
 }
 
-/// What the client connections need from the rest of the dispatcher.
+/// Parameters of [`accept`].
 pub(super) struct ClientParameters {
     pub(super) config: ConfigReceiver,
     pub(super) handle: Handle,
--- a/crates/dispatcher/src/net/client/wait.rs
+++ b/crates/dispatcher/src/net/client/wait.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use tokio::io::Interest;
-use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::connection::ConnectionEnd;
+use super::connection_end::ConnectionEnd;
 use super::connection_limit::FirstRequestWait;
 use super::ClientContext;
 use crate::net::mode::Mode;
@@ -17,19 +15,9 @@
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Request timeout while the number of client connections is near its limit.
 const NEAR_LIMIT_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval at which a connection is checked for a disconnect if it has more unread bytes than are read ahead.
-const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which a connection without any request so far remains open before it is closed as idle.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(400);
 
-/// Waits until the client closes its sending direction, on a connection with more unread bytes than are read ahead. No
-/// read reaches the end of the stream behind them, but the state of the socket shows it.
-pub(super) async fn read_closed(stream: &TcpStream) {
-    while stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-        sleep(DISCONNECT_POLL_INTERVAL).await;
-    }
-}
-
 /// Waits until a connection without a request in progress must be closed, and returns how it ends. Before the
 /// first request, the connection stays open for a grace period, because the first request may be in transit and clients
 /// would not send it again.
--- a/crates/dispatcher/src/net/discovery/watch_session.rs
+++ b/crates/dispatcher/src/net/discovery/watch_session.rs
@@ -168,7 +168,7 @@
                 return error;
             }
             // Discovery may send lists faster than the engine handles them, and is not read meanwhile.
-            self.context.handle.handled().await;
+            self.context.handle.wait_until_handled().await;
             if connection.response_complete {
                 // The complete list was received; the watch continues from it.
                 if let Err(error) = connection.send_request(&self.query()).await {
--- a/crates/dispatcher/src/net/http/head.rs
+++ b/crates/dispatcher/src/net/http/head.rs
@@ -135,8 +135,8 @@
     }
 }
 
-/// How far an incomplete head was parsed. A head is parsed again only after a line end, however small the pieces are in
-/// which it arrives.
+/// Progress of parsing an incomplete head. It is parsed again only after a line end, however small the pieces are in which
+/// it arrives.
 #[derive(Debug, Default)]
 pub struct HeadProgress {
     parsed: usize,
--- a/crates/dispatcher/src/net/id_journal.rs
+++ b/crates/dispatcher/src/net/id_journal.rs
@@ -2,7 +2,7 @@
 //! old process and then the new one runs once.
 //!
 //! The journal is a pair of files in the folder for temporary files, which the processes share during an upgrade: one
-//! for each period of [`PERIOD`], in which every process appends records and reads those of the others. A file that is
+//! for each period of 30 s, in which every process appends records and reads those of the others. A file that is
 //! older than the one before the current one is removed.
 
 use std::fs::{self, File, OpenOptions};
--- a/crates/dispatcher/src/net/memory.rs
+++ b/crates/dispatcher/src/net/memory.rs
@@ -21,7 +21,7 @@
 const PEER_SHARE_PERCENT: usize = 60;
 /// Processes on an inherited socket that one limit holds for during an upgrade.
 const PROCESSES_OF_AN_UPGRADE: usize = 2;
-/// Share of the reservable memory for requests; responses get the rest, so that requests that are held until they are
+/// Share of the reservable memory for requests; responses get the rest, so that requests that are open until they are
 /// answered cannot keep their own responses from being read.
 const REQUEST_SHARE_PERCENT: usize = 62;
 /// Minimum size of a pool, enough for the largest message.
@@ -104,7 +104,7 @@
 
     /// Returns a reservation of nothing.
     pub(crate) fn reservation(&self) -> Reservation {
-        Reservation { free_units: self.free_units.clone(), held: None }
+        Reservation { free_units: self.free_units.clone(), permit: None }
     }
 
     /// Copies bytes that are kept for longer than the buffer that they are part of.
@@ -122,7 +122,7 @@
 #[derive(Debug)]
 pub(crate) struct Reservation {
     free_units: Arc<Semaphore>,
-    held: Option<OwnedSemaphorePermit>,
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Reservation {
@@ -131,15 +131,15 @@
         if bytes <= FREE_BYTES {
             return 0;
         }
-        let held = self.held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let reserved = self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
         let units = bytes.div_ceil(UNIT_BYTES);
-        units.saturating_sub(held).try_into().unwrap_or(u32::MAX)
+        units.saturating_sub(reserved).try_into().unwrap_or(u32::MAX)
     }
 
-    fn add(&mut self, permit: OwnedSemaphorePermit) {
-        match &mut self.held {
-            Some(held) => held.merge(permit),
-            None => self.held = Some(permit),
+    fn add(&mut self, added: OwnedSemaphorePermit) {
+        match &mut self.permit {
+            Some(permit) => permit.merge(added),
+            None => self.permit = Some(added),
         }
     }
 
@@ -169,15 +169,15 @@
 
     /// Moves what is reserved to the reservation that is returned.
     pub(crate) fn take(&mut self) -> Reservation {
-        Reservation { free_units: self.free_units.clone(), held: self.held.take() }
+        Reservation { free_units: self.free_units.clone(), permit: self.permit.take() }
     }
 
     /// Gives back what is reserved beyond this many bytes.
     pub(crate) fn shrink(&mut self, bytes: usize) {
         let needed = if bytes <= FREE_BYTES { 0 } else { bytes.div_ceil(UNIT_BYTES) };
-        if let Some(held) = &mut self.held {
-            let surplus = held.num_permits().saturating_sub(needed);
-            drop(held.split(surplus));
+        if let Some(permit) = &mut self.permit {
+            let surplus = permit.num_permits().saturating_sub(needed);
+            drop(permit.split(surplus));
         }
     }
 
--- a/crates/dispatcher/src/net/read_buffer.rs
+++ b/crates/dispatcher/src/net/read_buffer.rs
@@ -40,16 +40,16 @@
             self.release();
             stream.readable().await?;
         }
-        self.make_room()?;
+        self.ensure_capacity()?;
         Ok(stream.read_buf(&mut self.bytes).await? > 0)
     }
 
     /// Returns whether bytes can be read without a reservation.
-    pub(crate) fn has_free_room(&self) -> bool {
+    pub(crate) fn can_read_ahead(&self) -> bool {
         self.bytes.len() < FREE_BYTES
     }
 
-    fn make_room(&mut self) -> Result<(), MemoryExhausted> {
+    fn ensure_capacity(&mut self) -> Result<(), MemoryExhausted> {
         if self.bytes.capacity() > self.bytes.len() {
             return Ok(());
         }
@@ -114,7 +114,7 @@
     /// # Errors
     /// Returns [`MemoryExhausted`] if the body cannot grow.
     pub(crate) fn append(&mut self, piece: &[u8], max_length: usize) -> Result<(), MemoryExhausted> {
-        self.make_room(piece.len(), max_length)?;
+        self.ensure_capacity(piece.len(), max_length)?;
         self.bytes.extend_from_slice(piece);
         Ok(())
     }
@@ -128,12 +128,12 @@
         stream: &mut TcpStream,
         length: usize,
     ) -> Result<bool, ReadError> {
-        self.make_room(1, length)?;
-        let room = (self.bytes.capacity() - self.bytes.len()).min(length - self.bytes.len());
-        Ok(stream.read_buf(&mut (&mut self.bytes).limit(room)).await? > 0)
+        self.ensure_capacity(1, length)?;
+        let spare_capacity = (self.bytes.capacity() - self.bytes.len()).min(length - self.bytes.len());
+        Ok(stream.read_buf(&mut (&mut self.bytes).limit(spare_capacity)).await? > 0)
     }
 
-    fn make_room(&mut self, additional: usize, max_length: usize) -> Result<(), MemoryExhausted> {
+    fn ensure_capacity(&mut self, additional: usize, max_length: usize) -> Result<(), MemoryExhausted> {
         let needed = self.bytes.len() + additional;
         if needed > self.bytes.capacity() {
             let capacity = needed.max(FREE_BYTES).max(2 * self.bytes.len()).min(max_length.max(needed));
--- a/crates/dispatcher/src/net/socket_io.rs
+++ b/crates/dispatcher/src/net/socket_io.rs
@@ -33,7 +33,7 @@
     Ok(stream.read_buf(buffer).await? > 0)
 }
 
-/// Reads more bytes of a worker's response into the buffer; returns false once the worker has closed its side. `held` is
+/// Reads more bytes of a worker's response into the buffer; returns false once the worker has closed its side. `buffered` is
 /// the number of bytes that are kept until the response is complete. Once they are more than a connection may hold
 /// freely, the memory for the whole response is reserved at once: responses that wait for memory hold none that others
 /// need.
@@ -43,10 +43,10 @@
 pub(crate) async fn read_response_bytes(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
-    held: usize,
+    buffered: usize,
     memory: &mut ResponseMemory,
 ) -> std::io::Result<bool> {
-    if held > FREE_BYTES {
+    if buffered > FREE_BYTES {
         memory.reservation.grow(memory.max_bytes).await;
     }
     buffer.reserve(WORKER_READ_SIZE);
@@ -78,8 +78,8 @@
                 Start::Request { .. } => return None,
             },
             None => {
-                let held = buffer.len();
-                if !read_response_bytes(stream, buffer, held, memory).await.ok()? {
+                let buffered = buffer.len();
+                if !read_response_bytes(stream, buffer, buffered, memory).await.ok()? {
                     return None;
                 }
                 continue;
--- a/crates/dispatcher/src/net/worker/answer.rs
+++ b/crates/dispatcher/src/net/worker/answer.rs
@@ -163,8 +163,8 @@
     /// arrive without a pause.
     async fn read_more(&mut self) -> Result<bool, ResponseError> {
         yield_now().await;
-        let held = self.lines.len() + self.buffer.len();
-        let read = read_response_bytes(self.stream, &mut self.buffer, held, &mut self.memory).await;
+        let buffered = self.lines.len() + self.buffer.len();
+        let read = read_response_bytes(self.stream, &mut self.buffer, buffered, &mut self.memory).await;
         read.map_err(|_| ResponseError::Disconnected)
     }
 }
--- a/crates/dispatcher/src/net/worker/attempt.rs
+++ b/crates/dispatcher/src/net/worker/attempt.rs
@@ -83,7 +83,7 @@
     pub(super) async fn report_progress(&mut self) {
         if let Some(done) = self.unreported_progress.take() {
             self.pool.handle.send(Input::Progress { attempt: self.attempt, done });
-            self.pool.handle.handled().await;
+            self.pool.handle.wait_until_handled().await;
         }
     }
 
--- a/crates/dispatcher/src/net/worker/health_check.rs
+++ b/crates/dispatcher/src/net/worker/health_check.rs
@@ -166,8 +166,8 @@
                 return Some(Response { status, body, reusable });
             }
             Piece::More => {
-                let held = buffer.len() + body.len();
-                if read_response_bytes(stream, &mut buffer, held, &mut memory).await.ok()? {
+                let buffered = buffer.len() + body.len();
+                if read_response_bytes(stream, &mut buffer, buffered, &mut memory).await.ok()? {
                     continue;
                 }
                 let is_complete = head.framing == Framing::UntilClose;
--- a/crates/dispatcher/src/net/worker/pool.rs
+++ b/crates/dispatcher/src/net/worker/pool.rs
@@ -36,7 +36,7 @@
     idle: RefCell<Vec<IdleConnection>>,
 }
 
-/// Whether a response can be told from one that the worker sends a second time, some milliseconds late.
+/// Identity of a response, by which one that the worker sends a second time, some milliseconds late, is recognized.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResponseIdentity {
     /// The response named its request.
