Have the rig of the peers tests learn the port that the program listens on

Cause: the rig took a free port, released it, and had the program bind to it. In between, the system gave the port to another listener of the tests, mostly the one that stands for discovery and never answers. The program then ended with an error, and the test connected to that listener.

Change: the program binds to port 0 and logs `listening for clients` with its address, which the rig reads. A program that ends instead fails the test at once. No time bound was changed. The test of SIGHUP, which read the first line of the log, expects the new line before the old one.

--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -171,6 +171,7 @@
             }
             None => tokio::net::TcpListener::bind(config.listen).await?,
         };
+        tracing::info!(address = %listener.local_addr()?, "listening for clients");
         net::serve(net::ServeParameters { config, listener, phase, reload }).await
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/dispatcher/tests/config.rs
+++ b/crates/dispatcher/tests/config.rs
@@ -289,9 +289,11 @@
     write(&json!("nowhere"));
     signal("-HUP");
     let mut log = std::io::BufReader::new(program.stderr.take().expect("a pipe"));
-    let mut line = String::new();
-    std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
-    assert!(line.contains("configuration unchanged: discovery: "), "{line}");
+    for expected in ["listening for clients address=", "configuration unchanged: discovery: "] {
+        let mut line = String::new();
+        std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
+        assert!(line.contains(expected), "{line}");
+    }
     write(&json!(address(&second)));
     signal("-HUP");
     let _new = second.accept().expect("a watch at the address of the file");
--- a/crates/dispatcher/tests/peers/rig.rs
+++ b/crates/dispatcher/tests/peers/rig.rs
@@ -6,7 +6,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +19,9 @@
 /// Timeout of a client's read, which only a fault reaches.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What precedes the address in the line that the program logs once it listens.
+const LISTEN_FIELD: &str = "listening for clients address=";
+
 /// Kind of the workers that run all classes but [`QUICK_CLASS`].
 const HELD_KIND: &str = "held";
 /// Kind of the workers that run [`QUICK_CLASS`].
@@ -165,6 +169,18 @@
     std::env::temp_dir().join(format!("rig-{}-{}", std::process::id(), socket.port()))
 }
 
+/// Number of programs that were started, which tells their files apart.
+static PROGRAMS: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the address that the program logs once it listens, and reads the rest of the log in the background. The
+/// program binds to port 0: a port that is chosen here first may be given to another listener in the meantime.
+fn listen_address(log: ChildStderr) -> SocketAddr {
+    let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+    let address = lines.find_map(|line| line.split_once(LISTEN_FIELD)?.1.parse().ok());
+    thread::spawn(move || lines.for_each(drop));
+    address.expect("the program listens")
+}
+
 /// The program as a process of its own.
 pub struct Program {
     pub address: SocketAddr,
@@ -188,8 +204,7 @@
     fn spawn(limits: Limits, workers: &[Worker], listener: Option<&TcpListener>) -> Program {
         let mut config: Value =
             serde_json::from_str(include_str!("../../../../examples/config.json")).expect("an example");
-        let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
-        config["listen"] = json!(free.to_string());
+        config["listen"] = json!("127.0.0.1:0");
         config["discovery"] = json!(unresponsive_listener().to_string());
         config["limits"] = json!({"memory_mb": limits.memory_mb, "sockets": limits.descriptors});
         config["settings"]["discovery"] = json!("ask");
@@ -214,24 +229,22 @@
                        "flavor": worker.kind, "cell": index, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
             })
             .collect();
-        if let Some(listener) = listener {
-            config["listen"] = json!(listener.local_addr().expect("an address").to_string());
-        }
-        let address = config["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
-        let file = std::env::temp_dir().join(format!("rig-{}-{}.json", std::process::id(), free.port()));
+        let number = PROGRAMS.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("rig-{}-{number}.json", std::process::id()));
         fs::write(&file, config.to_string()).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_dispatcher"));
-        command.arg("--config").arg(&file).env_remove("BALANCER_ACCEPT_FD").stderr(Stdio::null());
+        command.arg("--config").arg(&file).env_remove("BALANCER_ACCEPT_FD").stderr(Stdio::piped());
         for variable in ["LISTEN", "DISCOVERY", "NAME", "CONSOLE"] {
             command.env_remove(format!("BALANCER_{variable}"));
         }
         if let Some(listener) = listener {
             let inherited = OwnedFd::from(listener.try_clone().expect("a socket"));
-            let folder = shared_folder(address);
+            let folder = shared_folder(listener.local_addr().expect("an address"));
             fs::create_dir_all(&folder).expect("a folder");
             command.stdin(Stdio::from(inherited)).env("BALANCER_ACCEPT_FD", "0").env("TMPDIR", folder);
         }
-        let child = command.spawn().expect("the program runs");
+        let mut child = command.spawn().expect("the program runs");
+        let address = listen_address(child.stderr.take().expect("a log"));
         Program { address, child, file, config }
     }
 
