Tie the record of a sent id to the request that sent it

Cause: `RecentIds` recorded and forgot by the id alone. A later request with the id of which nothing ran (of a class that may always be repeated) made an earlier run forgotten, so that the job could run again. A repeat within the key window was recorded anew, so that the window counted from the repeat. An attempt that was cancelled before its first byte counted as one that may have run, so that the id got 409.

Change: a send is a record of its own (`SentId`: first and last send), which its request holds and alone may withdraw, in this process and in the others of an upgrade; sends of one id are merged, with the earliest window and the latest retention. The network layer marks a request right before its first byte (`Payload::write_started`). The memory limit goes to both owners at the start and at a reload (`Input::MemoryLimit`).

--- a/crates/dispatcher/src/engine/event_loop.rs
+++ b/crates/dispatcher/src/engine/event_loop.rs
@@ -83,9 +83,9 @@
         self.timers.set(self.now + timeout, Timer::InitialListTimeout);
     }
 
-    /// Sets the maximum number of ids that are remembered after their jobs have ended.
-    pub fn set_recent_id_capacity(&mut self, capacity: usize) {
-        self.recent_ids.set_capacity(capacity);
+    /// Applies the memory limit of the process, in bytes, to the ids that are remembered after their jobs have ended.
+    pub fn set_memory_limit(&mut self, limit: usize) {
+        self.recent_ids.set_memory_limit(limit);
     }
 
     /// Exchanges the ids of jobs that may have run with other processes on the same socket.
--- a/crates/dispatcher/src/engine/inputs.rs
+++ b/crates/dispatcher/src/engine/inputs.rs
@@ -30,6 +30,7 @@
             }
             Input::EndpointList { scope, endpoints } => self.update_endpoints(scope, endpoints),
             Input::Configure(settings) => self.notify_policy(Event::Settings(&settings)),
+            Input::MemoryLimit(limit) => self.set_memory_limit(limit),
             Input::Draining => self.dispatcher.release_slow_start_share(),
             Input::Shutdown => self.shut_down(),
             Input::Barrier(reached) => drop(reached),
--- a/crates/dispatcher/src/engine/messages.rs
+++ b/crates/dispatcher/src/engine/messages.rs
@@ -30,6 +30,8 @@
     pub class: Rc<str>,
     /// Set once the request is answered or its client has left; checked right before an attempt is written.
     pub concluded: Cell<bool>,
+    /// Set right before the first byte of an attempt is written. While it is not set, the job has not run.
+    pub write_started: Cell<bool>,
 }
 
 /// A job as a client submitted it.
@@ -201,6 +203,8 @@
         /// Entries of the list.
         endpoints: Vec<ListedEndpoint>,
     },
+    /// The memory limit of the process changes, in bytes.
+    MemoryLimit(usize),
     /// New settings take effect, for the jobs that are accepted from now on.
     Configure(Box<Settings>),
     /// A graceful shutdown began: this instance releases its slow-start share, because a successor may already use it.
--- a/crates/dispatcher/src/engine/request_table.rs
+++ b/crates/dispatcher/src/engine/request_table.rs
@@ -8,6 +8,7 @@
 
 use super::clock::Micros;
 use super::messages::{AttemptId, FinalResponse, Payload};
+use super::recent_ids::SentId;
 use dispatch_core::api::{JobSettings, RequestId};
 
 /// An open request.
@@ -19,6 +20,8 @@
     /// Settings of the job, as they were when it was accepted.
     pub(super) settings: JobSettings,
     pub(super) attempts: Vec<Attempt>,
+    /// Record of the first attempt, if the job must not run any number of times.
+    pub(super) sent_id: Option<SentId>,
 }
 
 /// An attempt at an open request.
@@ -52,6 +55,12 @@
         self.response_sender.is_none()
     }
 
+    /// Returns whether an attempt may have run. An attempt that was cancelled before its first byte has no outcome that
+    /// tells so.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.payload.write_started.get() && self.first_sent_that_may_have_run().is_some()
+    }
+
     /// Returns the time at which the first attempt that may have run was sent.
     pub(super) fn first_sent_that_may_have_run(&self) -> Option<Micros> {
         self.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.sent_at)
--- a/crates/dispatcher/src/engine/requests.rs
+++ b/crates/dispatcher/src/engine/requests.rs
@@ -40,6 +40,7 @@
             response_sender: Some(response_sender),
             settings: job.settings,
             attempts: Vec::new(),
+            sent_id: None,
         };
         self.requests.insert(id, open);
         self.timers.set(deadline, Timer::Deadline(id));
@@ -54,8 +55,8 @@
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
         let Some(open) = self.requests.take_finished(id) else { return };
         self.timers.cancel(open.deadline, Timer::Deadline(id));
-        if open.first_sent_that_may_have_run().is_none() {
-            self.recent_ids.forget(&open.payload.id, self.now);
+        if let Some(sent_id) = open.sent_id.filter(|_| !open.may_have_run()) {
+            self.recent_ids.withdraw(sent_id, self.now);
         }
         for (number, attempt) in (0..).zip(&open.attempts) {
             if let Some(timeout_at) = attempt.timeout_at {
@@ -96,7 +97,7 @@
             self.timers.set(timeout_at, Timer::Attempt(attempt));
         }
         if attempt.number == 0 {
-            self.recent_ids.record_send(&open.payload.id, &open.settings, self.now);
+            open.sent_id = self.recent_ids.record_send(&open.payload.id, &open.settings, self.now);
         }
         let retry_window = micros(open.settings.retry_window());
         let not_after = first_sent_at.map_or(Micros::MAX, |sent_at| sent_at.saturating_add(retry_window));
--- a/crates/dispatcher/src/net/client/request.rs
+++ b/crates/dispatcher/src/net/client/request.rs
@@ -95,6 +95,7 @@
         body: Bytes::new(),
         class: info.name.as_str().into(),
         concluded: Cell::default(),
+        write_started: Cell::default(),
     };
     let settings = config.settings.for_job(request.class);
     Ok(ClientRequest::Job(Box::new(Job { request, settings, timeout, payload })))
--- a/crates/dispatcher/src/net/id_journal.rs
+++ b/crates/dispatcher/src/net/id_journal.rs
@@ -16,8 +16,15 @@
 const PERIOD: Micros = 30_000_000;
 /// Length of a number in a record, in bytes.
 const NUMBER_BYTES: usize = 8;
-/// Length of a record: hash, time of the send, end of the repeatable time, and process with the outcome.
-const RECORD_BYTES: usize = 4 * NUMBER_BYTES;
+/// Numbers of a record: hash, times of the first and the last send, end of the repeatable time, and process with the
+/// outcome.
+const RECORD_NUMBERS: usize = 5;
+/// Length of a record, in bytes.
+const RECORD_BYTES: usize = RECORD_NUMBERS * NUMBER_BYTES;
+/// Version of the records. Processes of different versions on one socket have files of their own.
+const FORMAT_VERSION: u32 = 1;
+/// Memory limit per byte of a file, which counts as memory.
+const MEMORY_PER_FILE_BYTE: usize = 64;
 
 /// The journal, as one process sees it.
 #[derive(Debug)]
@@ -44,13 +51,14 @@
     pub fn path(folder: &Path, socket: SocketAddr) -> PathBuf {
         // Without dots, so that the period can follow as an extension.
         let socket = socket.to_string().replace(['.', ':', '[', ']'], "-");
-        folder.join(format!("dispatcher-sent-ids-{socket}"))
+        folder.join(format!("dispatcher-sent-ids-{FORMAT_VERSION}-{socket}"))
     }
 
-    /// Opens a journal whose files have this path, followed by the number of their period.
-    pub fn open(stem: PathBuf, max_file_bytes: u64) -> IdJournal {
+    /// Opens a journal whose files have this path, followed by the number of their period. Nothing is written before the
+    /// memory limit is set.
+    pub fn open(stem: PathBuf) -> IdJournal {
         let process = u64::from(std::process::id());
-        IdJournal { stem, process, max_file_bytes, writer: None, readers: Vec::new(), failing: false }
+        IdJournal { stem, process, max_file_bytes: 0, writer: None, readers: Vec::new(), failing: false }
     }
 
     fn file_path(&self, period: u64) -> PathBuf {
@@ -126,11 +134,16 @@
         }
         received
     }
+
+    fn set_memory_limit(&mut self, limit: usize) {
+        self.max_file_bytes = (limit / MEMORY_PER_FILE_BYTE) as u64;
+    }
 }
 
 fn encode(id: SentId, process: u64) -> [u8; RECORD_BYTES] {
     let mut record = [0; RECORD_BYTES];
-    let numbers = [id.hash, id.sent_at, id.repeatable_until, process << 1 | u64::from(id.may_have_run)];
+    let source = process << 1 | u64::from(id.may_have_run);
+    let numbers = [id.hash, id.first_sent_at, id.last_sent_at, id.repeatable_until, source];
     for (bytes, number) in record.chunks_exact_mut(NUMBER_BYTES).zip(numbers) {
         bytes.copy_from_slice(&number.to_le_bytes());
     }
@@ -143,8 +156,13 @@
         let bytes: Result<[u8; NUMBER_BYTES], _> = bytes.try_into();
         bytes.map_or(0, u64::from_le_bytes)
     });
-    let (hash, sent_at, repeatable_until, source) =
-        (numbers.next()?, numbers.next()?, numbers.next()?, numbers.next()?);
-    let id = SentId { hash, sent_at, repeatable_until, may_have_run: source & 1 == 1 };
-    (source >> 1 != process).then_some(id)
+    let id = SentId {
+        hash: numbers.next()?,
+        first_sent_at: numbers.next()?,
+        last_sent_at: numbers.next()?,
+        repeatable_until: numbers.next()?,
+        may_have_run: false,
+    };
+    let source = numbers.next()?;
+    (source >> 1 != process).then_some(SentId { may_have_run: source & 1 == 1, ..id })
 }
--- a/crates/dispatcher/src/net/reload.rs
+++ b/crates/dispatcher/src/net/reload.rs
@@ -60,6 +60,7 @@
                 metrics.reloads_ok.inc();
                 metrics.register_classes(&config.names.classes);
                 memory.configure(&config);
+                handle.send(Input::MemoryLimit(config.memory_limit));
                 handle.send(Input::Configure(Box::new(config.settings.clone())));
                 configs.send_replace(Rc::new(config));
             }
--- a/crates/dispatcher/src/net/server.rs
+++ b/crates/dispatcher/src/net/server.rs
@@ -20,11 +20,6 @@
 use crate::config::Config;
 use crate::engine::{Clock, Command, Engine, Handle, Micros};
 
-/// Memory limit per remembered id, in bytes. An id takes about a hundred bytes.
-const MEMORY_PER_RECENT_ID: usize = 2048;
-/// Memory limit per byte of a file of the journal of ids, which counts as memory.
-const MEMORY_PER_JOURNAL_FILE: usize = 64;
-
 /// Parameters of [`serve`].
 #[expect(missing_debug_implementations, reason = "contains a function")]
 pub struct ServeParameters {
@@ -95,11 +90,10 @@
 fn create_engine(config: &Config, clock: Clock, commands: mpsc::UnboundedSender<Command>) -> Engine {
     let saved_endpoints = config.saved_list.endpoints.clone();
     let mut engine = Engine::new(config.settings.clone(), config.seed, saved_endpoints, clock, commands);
-    engine.set_recent_id_capacity(config.memory_limit / MEMORY_PER_RECENT_ID);
     if let Some(path) = &config.id_journal {
-        let max_file_bytes = config.memory_limit / MEMORY_PER_JOURNAL_FILE;
-        engine.share_ids(Box::new(IdJournal::open(path.clone(), max_file_bytes as u64)));
+        engine.share_ids(Box::new(IdJournal::open(path.clone())));
     }
+    engine.set_memory_limit(config.memory_limit);
     if config.list_is_pushed {
         engine.await_initial_list(client::INITIAL_LIST_TIMEOUT.as_micros() as Micros);
     }
--- a/crates/dispatcher/src/net/worker/attempt.rs
+++ b/crates/dispatcher/src/net/worker/attempt.rs
@@ -133,6 +133,8 @@
     if attempt.payload.concluded.get() || pool.clock.now() >= attempt.not_after {
         return guard.report_without_result(Outcome::NotSent);
     }
+    // No other task runs between the check above and this, so that a concluded request is known not to have run.
+    attempt.payload.write_started.set(true);
     let write_started_at = pool.clock.now();
     if !write_request(&mut connection, &worker, &attempt, &mut guard).await {
         // A reused connection that accepts no write was closed by the worker, and nothing was sent.
--- a/crates/dispatcher/tests/engine_harness/mod.rs
+++ b/crates/dispatcher/tests/engine_harness/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use dispatcher::api::{
@@ -137,12 +138,19 @@
         self.next_commanded_attempt().await.id
     }
 
-    /// Waits for the engine's next attempt command.
+    /// Waits for the engine's next attempt command, and begins to write its request.
     pub async fn next_commanded_attempt(&mut self) -> CommandedAttempt {
+        let (attempt, payload) = self.next_unwritten_attempt().await;
+        payload.write_started.set(true);
+        attempt
+    }
+
+    /// Waits for the engine's next attempt command, and returns it with its request, of which nothing is written.
+    pub async fn next_unwritten_attempt(&mut self) -> (CommandedAttempt, Rc<Payload>) {
         loop {
             match self.commands.recv().await.expect("a command") {
-                Command::Attempt { attempt, not_after, .. } => {
-                    return CommandedAttempt { id: attempt, not_after }
+                Command::Attempt { attempt, not_after, payload, .. } => {
+                    return (CommandedAttempt { id: attempt, not_after }, payload)
                 }
                 Command::Cancel(_)
                 | Command::HealthCheck(_)
