--- a/crates/dispatcher/src/config/key_table.rs
+++ b/crates/dispatcher/src/config/key_table.rs
@@ -65,6 +65,12 @@
 
 /// Value of `idempotency` for classes whose jobs carry an idempotency key.
 const WITH_KEY: &str = "guarded";
+/// Values of `idempotency`.
+const IDEMPOTENCIES: &[&str] = &["free", WITH_KEY, "single_shot"];
+/// Values of `settings.discovery`. With `watch`, the list is neither pushed to this machine nor only sent when asked for.
+const DISCOVERY_MODES: &[&str] = &["push", "ask", "watch"];
+/// Values of `settings.report.how`.
+const REPORT_MODES: &[&str] = &["answers", "probe", "none"];
 /// Values of `key-scope`.
 const KEY_SCOPES: &[&str] = &["all", "zone", "cell"];
 /// Path of the list of classes.
@@ -79,31 +85,31 @@
     optional("listen", Range::Text),
     optional("discovery", Range::Text),
     optional("console", Range::Text),
-    optional("limits.sockets", Range::Whole(0)),
-    optional("limits.memory_mb", Range::Positive),
-    optional("settings.azs", Range::Texts),
-    optional("settings.flavors", Range::Texts),
+    required("limits.sockets", Range::Whole(0)),
+    required("limits.memory_mb", Range::Positive),
+    required("settings.azs", Range::Texts),
+    required("settings.flavors", Range::Texts),
     required("settings.balancers", Range::Whole(1)),
     required("settings.slot-no", Range::Whole(0)),
-    optional("settings.zone", Range::Whole(0)),
-    required("settings.discovery", Range::Text),
+    required("settings.zone", Range::Whole(0)),
+    required("settings.discovery", Range::OneOf(DISCOVERY_MODES)),
     required("settings.resolution-s", Range::NonNegative),
     required("settings.caps.send-cap", Range::Whole(1)),
     required("settings.caps.cancel", Range::Flag),
     required("settings.caps.parallel-tries", Range::Flag),
     required("settings.caps.retry-after", Range::Flag),
-    optional("settings.caps.max-retry-after-s", Range::NonNegative),
+    required("settings.caps.max-retry-after-s", Range::NonNegative),
     required("settings.caps.dial-timeout-s", Range::NonNegative),
     required("settings.caps.keepalive-s", Range::NonNegative),
-    optional("settings.caps.probes", Range::Flag),
+    required("settings.caps.probes", Range::Flag),
     required("settings.obligations.drain-grace-s", Range::NonNegative),
     required("settings.obligations.cold-share", Range::NonNegative),
     required("settings.obligations.warm-within-s", Range::NonNegative),
     required("settings.obligations.fall-multiple", Range::NonNegative),
     required("settings.obligations.tip-after-s", Range::NonNegative),
-    optional("settings.obligations.ask-within-s", Range::NonNegative),
-    optional("settings.clients.marks-retry", Range::Flag),
-    optional("settings.report.how", Range::Text),
+    required("settings.obligations.ask-within-s", Range::NonNegative),
+    required("settings.clients.marks-retry", Range::Flag),
+    optional("settings.report.how", Range::OneOf(REPORT_MODES)),
     optional("settings.report.names", Range::Texts),
     optional("settings.family-info.tells-start", Range::Flag),
     optional("settings.family-info.progress-s", Range::NonNegative),
@@ -117,12 +123,12 @@
 /// Keys of a class.
 const CLASS_KEYS: &[Key] = &[
     required("name", Range::Text),
-    required("idempotency", Range::Text),
+    required("idempotency", Range::OneOf(IDEMPOTENCIES)),
     required_with_key("key-scope", Range::OneOf(KEY_SCOPES)),
     required_with_key("window-s", Range::Positive),
     required("promise-s", Range::NonNegative),
     required("deadline-s", Range::Positive),
-    optional("late-worth", Range::NonNegative),
+    required("late-worth", Range::NonNegative),
     optional("aim-stretch", Range::NonNegative),
 ];
 
--- a/crates/dispatcher/src/config/parser.rs
+++ b/crates/dispatcher/src/config/parser.rs
@@ -21,10 +21,6 @@
 
 /// Default name of a dispatcher.
 const DEFAULT_NAME: &str = "cairncrank";
-/// Default of the number of file descriptors that the process may open.
-const DEFAULT_SOCKETS: usize = 1024;
-/// Default of the memory limit, in megabytes.
-const DEFAULT_MEMORY_MB: f64 = 192.0;
 const BYTES_PER_MB: f64 = 1e6;
 /// File descriptors reserved for files, the runtime, the listener and discovery.
 const RESERVED_SOCKETS: usize = 40;
@@ -86,7 +82,7 @@
         seed: parse_seed(&root["seed"])?,
         client_sockets,
         worker_sockets: sockets - client_sockets,
-        memory_limit: parse_memory_limit(&root["limits"]["memory_mb"]),
+        memory_limit: parse_memory_limit(&root["limits"]["memory_mb"])?,
         dial_timeout: parse_dial_timeout(&pairs)?,
         idle_timeout: micros(keepalive * KEEPALIVE_FRACTION),
         drain_grace: micros(pairs.non_negative("obligations.drain-grace-s", DEFAULT_DRAIN_GRACE_S)?),
@@ -142,9 +138,6 @@
 
 /// Parses the number of file descriptors that the process may open.
 fn parse_socket_limit(value: &Value) -> Result<usize, ConfigError> {
-    if value.is_null() {
-        return Ok(DEFAULT_SOCKETS);
-    }
     let limit = value.as_u64().and_then(|limit| usize::try_from(limit).ok());
     match limit.filter(|limit| *limit >= MIN_SOCKETS) {
         Some(limit) => Ok(limit),
@@ -152,9 +145,12 @@
     }
 }
 
-/// Returns the memory limit in bytes; the key table has checked the number.
-fn parse_memory_limit(megabytes: &Value) -> usize {
-    (megabytes.as_f64().unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB) as usize
+/// Parses the memory limit and returns it in bytes.
+fn parse_memory_limit(megabytes: &Value) -> Result<usize, ConfigError> {
+    match megabytes.as_f64() {
+        Some(megabytes) => Ok((megabytes * BYTES_PER_MB) as usize),
+        None => invalid("limits.memory_mb", MISSING),
+    }
 }
 
 fn parse_saved_list(value: &Value, names: &Names) -> Result<SavedList, ConfigError> {
--- a/crates/dispatcher/tests/config.rs
+++ b/crates/dispatcher/tests/config.rs
@@ -137,7 +137,7 @@
 }
 
 /// A change of a file at these paths, and the error that it must cause at the start and at a reload.
-const FAULTS: [(&[&str], &str, &str); 22] = [
+const FAULTS: [(&[&str], &str, &str); 34] = [
     (&["settings", "profiles", "1", "key-scope"], "null", "missing"),
     (
         &["settings", "profiles", "1", "key-scope"],
@@ -163,6 +163,22 @@
     (&["settings", "obligations", "warm-within-s"], "null", "missing"),
     (&["settings", "obligations", "drain-grace-s"], "-1", "expected a number from 0 on, found -1"),
     (&["settings", "discovery"], "null", "missing"),
+    (&["settings", "discovery"], r#""pull""#, "expected one of push, ask, watch, found \"pull\""),
+    (
+        &["settings", "profiles", "1", "idempotency"],
+        r#""safe""#,
+        "expected one of free, guarded, single_shot",
+    ),
+    (&["settings", "profiles", "0", "late-worth"], "null", "missing"),
+    (&["settings", "azs"], "null", "missing"),
+    (&["settings", "flavors"], "null", "missing"),
+    (&["settings", "zone"], "null", "missing"),
+    (&["settings", "caps", "max-retry-after-s"], "null", "missing"),
+    (&["settings", "caps", "probes"], "null", "missing"),
+    (&["settings", "clients", "marks-retry"], "null", "missing"),
+    (&["settings", "obligations", "ask-within-s"], "null", "missing"),
+    (&["limits", "sockets"], "null", "missing"),
+    (&["limits", "memory_mb"], "null", "missing"),
     (&["settings", "profiles"], "null", "missing"),
 ];
 
@@ -246,6 +262,8 @@
     assert_eq!(new.settings.dropped.classes, [1].into());
     assert_eq!(new.settings.dropped.tenants, [0].into());
     assert_eq!(new.settings.total_quota(), 9.0);
+    let quotas: Vec<f64> = new.settings.tenants.iter().map(|tenant| tenant.quota).collect();
+    assert_eq!(quotas, [0.0, 9.0], "web has none any more, till has that of the file");
     assert_eq!(new.longest_timeout, 3_000_000);
 }
 
--- a/crates/dispatcher/tests/pinned_settings.rs
+++ b/crates/dispatcher/tests/pinned_settings.rs
@@ -173,7 +173,7 @@
     let with_scope = parse(&scoped).expect("a valid file").settings;
     assert_eq!(with_scope.classes[0].idempotency, Idempotency::WithKey(KeyScope::All));
     assert_eq!(first_idempotency("free"), Idempotency::Idempotent);
-    assert_eq!(first_idempotency("no"), Idempotency::NotIdempotent);
+    assert_eq!(first_idempotency("single_shot"), Idempotency::NotIdempotent);
 }
 
 /// Collects the paths of all values in a JSON tree. A list without objects counts as one value.
--- a/crates/dispatcher/tests/scenario/mod.rs
+++ b/crates/dispatcher/tests/scenario/mod.rs
@@ -138,19 +138,22 @@
         let mut config = json!({
             "name": "n1", "seed": "1", "listen": "127.0.0.1:0",
             "discovery": discovery,
+            "limits": {"sockets": 1024, "memory_mb": 192},
             "known": {"revision": 5, "complete": true, "members": []},
             "settings": {
                 "azs": ["north"], "flavors": ["m1"], "balancers": 1, "slot-no": 0, "zone": 0,
                 "discovery": "watch",
                 "profiles": [
-                    {"name": "safe", "idempotency": "free", "promise-s": 5.0, "deadline-s": 20.0},
+                    {"name": "safe", "idempotency": "free", "promise-s": 5.0, "deadline-s": 20.0,
+                     "late-worth": 0.0},
                     {"name": "keyed", "idempotency": "guarded", "key-scope": "cell", "window-s": 15.0,
-                     "promise-s": 5.0, "deadline-s": 20.0}],
+                     "promise-s": 5.0, "deadline-s": 20.0, "late-worth": 0.0}],
+                "clients": {"marks-retry": false},
                 "projects": [{"name": "acme", "share": 1.0, "quota-per-s": 1000.0}],
                 "caps": {"cancel": true, "send-cap": 4, "parallel-tries": false, "retry-after": true, "max-retry-after-s": 2.0,
-                         "dial-timeout-s": 10.0, "keepalive-s": 60.0},
+                         "probes": false, "dial-timeout-s": 10.0, "keepalive-s": 60.0},
                 // Long, so that no second watch is opened in parallel to one that a script answers late.
-                "obligations": {"drain-grace-s": 60.0, "cold-share": 0.1, "warm-within-s": 0.0,
+                "obligations": {"ask-within-s": 0.0, "drain-grace-s": 60.0, "cold-share": 0.1, "warm-within-s": 0.0,
                                 "fall-multiple": 1.0, "tip-after-s": 1.0},
                 "family-info": {"tells-start": true}, "resolution-s": 0.005}});
         let mut workers = 1;
--- a/crates/emulator/src/cluster/dispatcher_settings.rs
+++ b/crates/emulator/src/cluster/dispatcher_settings.rs
@@ -66,7 +66,8 @@
                          "parallel-tries": true, "probes": self.probes, "retry-after": true, "send-cap": 4},
                 "family-info": {"tells-start": true, "class-stretch": vec![2.0; self.classes.len()],
                                 "class-kind": vec![-1; self.classes.len()]},
-                "obligations": {"cold-share": INITIAL_CAPACITY, "drain-grace-s": 0.5,
+                "clients": {"marks-retry": false},
+                "obligations": {"ask-within-s": 0.0, "cold-share": INITIAL_CAPACITY, "drain-grace-s": 0.5,
                                 "fall-multiple": OVERLOAD_MULTIPLE,
                                 "tip-after-s": OVERLOAD_WINDOW.as_secs_f64(), "warm-within-s": self.warm_up_s},
                 "charges": {"cross-zone": 0.025}
--- a/crates/emulator/src/sockets/program.rs
+++ b/crates/emulator/src/sockets/program.rs
@@ -210,8 +210,9 @@
             "class-stretch": classes.iter().map(|class| class.stretch).collect::<Vec<_>>(),
             "class-kind": classes.iter().map(|_| -1).collect::<Vec<_>>(),
         },
+        "clients": {"marks-retry": false},
         "obligations": {
-            "cold-share": rules.cold_share, "drain-grace-s": rules.drain_grace,
+            "ask-within-s": 0.0, "cold-share": rules.cold_share, "drain-grace-s": rules.drain_grace,
             "fall-multiple": rules.overload_multiple, "tip-after-s": rules.overload_window, "warm-within-s": rules.warm_up,
         },
         "charges": {"cross-zone": rules.cross_zone_price},
