Keep the buffer of a worker's line within the memory that is reserved for it

But up to twice the reserved memory was in use, so that the account did not hold all that workers can make the process keep.

Cause: the buffer of `Lines` grew by doubling, and for a body of known length the reservation was its length while the line could grow up to the limit of all lines.

Change: the buffer grows to twice its length, at most to the maximum, and that maximum is what is reserved.

--- a/crates/dispatcher/src/net/http/lines.rs
+++ b/crates/dispatcher/src/net/http/lines.rs
@@ -23,8 +23,8 @@
         match piece.try_into_mut() {
             // No other slice of the buffer exists and no partial line is pending: no copy is needed.
             Ok(piece) if self.buffer.is_empty() => self.buffer = piece,
-            Ok(piece) => self.buffer.extend_from_slice(&piece),
-            Err(piece) => self.buffer.extend_from_slice(&piece),
+            Ok(piece) => self.append(&piece, max_length),
+            Err(piece) => self.append(&piece, max_length),
         }
         match self.line_end() {
             None if self.buffer.len() > max_length => Err(Malformed::BodyTooLarge),
@@ -32,6 +32,19 @@
         }
     }
 
+    /// Appends a piece. The buffer grows to twice its length, but not beyond `max_length` unless the piece needs it: no
+    /// more than that is reserved for it.
+    fn append(&mut self, piece: &[u8], max_length: usize) {
+        let needed = self.buffer.len() + piece.len();
+        if needed > self.buffer.capacity() {
+            let capacity = needed.max(max_length.min(2 * self.buffer.len()));
+            let mut grown = BytesMut::with_capacity(capacity);
+            grown.extend_from_slice(&self.buffer);
+            self.buffer = grown;
+        }
+        self.buffer.extend_from_slice(piece);
+    }
+
     /// Returns the number of bytes that were not returned yet.
     pub fn len(&self) -> usize {
         self.buffer.len()
--- a/crates/dispatcher/src/net/worker/answer.rs
+++ b/crates/dispatcher/src/net/worker/answer.rs
@@ -118,7 +118,8 @@
         while !guard.is_reported() {
             match self.decoder.next(&mut self.buffer)? {
                 Piece::Data(data) => {
-                    self.lines.add(data, MAX_LINE_BYTES)?;
+                    // No line is longer than what is reserved for the response.
+                    self.lines.add(data, self.memory.max_bytes)?;
                     while let Some(line) = self.lines.next_line() {
                         handle_line(&line, payload, guard, &mut self.memory)?;
                     }
--- a/crates/dispatcher/tests/lines.rs
+++ b/crates/dispatcher/tests/lines.rs
@@ -40,6 +40,20 @@
     assert!(start.elapsed() < SPLIT_TIMEOUT, "{:?}", start.elapsed());
 }
 
+/// Guards against a buffer that grows by doubling, up to twice the memory that is reserved for a line.
+#[test]
+fn the_buffer_of_a_line_keeps_to_the_maximum_length() {
+    const MAX_LENGTH: usize = 110_000;
+    let mut lines = Lines::default();
+    for _ in 0..100 {
+        lines.add(Bytes::from(vec![b'a'; 1_000]), MAX_LENGTH).expect("a line within the limit");
+    }
+    let line = lines.rest();
+    drop(lines);
+    let capacity = line.try_into_mut().map(|buffer| buffer.capacity()).ok();
+    assert!(capacity.is_some_and(|capacity| capacity <= MAX_LENGTH), "{capacity:?}");
+}
+
 #[test]
 fn a_line_that_is_too_long_is_an_error() {
     let mut lines = Lines::default();
